Send the changes of a table that fit, the largest first, so that none stands still

Cause: a zone's changes went to all its proxies or not at all. Now what can't wait goes first with room of its own, then levels, then the largest moves as far as they fit, the rest in later cycles; the book holds what was sent.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,7 +10,7 @@
 use crate::round::{
     Address, Channel, Levels, List, ListNews, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
 };
-use crate::state::{Proxy, Server, Table};
+use crate::state::{Change, Line, Proxy, Server, Table, Times};
 use crate::sums::{seconds_held, Fading};
 use std::collections::BTreeMap;
 
@@ -110,27 +110,11 @@
     tables: Vec<Table>,
     /// The servers of each slice in this pilot's charge, and when one was last shut out.
     slices: BTreeMap<u16, (Vec<Address>, f64)>,
-    waiting: f64,
-    waiting_at: f64,
-    asked_at: Option<f64>,
-    ask_at: f64,
-    first_heard: Option<f64>,
-    heard_at: f64,
-    last_cycle: f64,
-    next_cycle: f64,
-    next_beat: f64,
-    line: f64,
-    /// The line, as it was while what is measured now was let in.
-    line_held: f64,
-    /// Queries a second that are let in.
-    limit: f64,
+    /// How much each zone's crowding lets its servers count.
     crowding: Vec<f64>,
-    /// The usual server's time and failures, over the due time; the line of benefit goes by it.
-    pressure: f64,
-    /// Answers a second that a unit of weight has been seen to give, at most.
-    proven: f64,
-    /// Tries a second that came to an end.
-    met: f64,
+    waiting: f64,
+    line: Line,
+    times: Times,
 }
 
 pub fn kept_and_spilled(demand: &[f64], capacity: &[f64]) -> Vec<Vec<f64>> {
@@ -194,30 +178,16 @@
             proxies: BTreeMap::new(),
             tables,
             slices: BTreeMap::new(),
-            waiting: 0.0,
-            waiting_at: 0.0,
-            asked_at: None,
-            ask_at: 0.0,
-            first_heard: None,
-            heard_at: 0.0,
-            last_cycle: f64::NEG_INFINITY,
-            next_cycle: 0.0,
-            next_beat: 0.0,
-            line: 1.0,
-            line_held: 1.0,
-            limit: f64::INFINITY,
             crowding,
-            pressure: 0.0,
-            proven: 0.0,
-            met: 0.0,
+            waiting: 0.0,
+            line: Line::default(),
+            times: Times::default(),
         }
     }
 
     pub fn round(&mut self, round: &Round, out: &mut dyn Writer) {
         let now = round.now;
-        if self.last_cycle == f64::NEG_INFINITY {
-            self.heard_at = now;
-        }
+        self.times.heard_at.get_or_insert(now);
         let mut urgent = false;
         for list in &round.lists {
             urgent |= self.read_list(list, now);
@@ -257,31 +227,31 @@
         }
         // A cycle follows the reports it is to act on; without any it comes late rather than never.
         if !round.tries.is_empty() {
-            let next = (now + GATHER).max(self.last_cycle + self.cycle() * EARLY);
-            if next < self.next_cycle {
-                self.next_cycle = next;
+            let next = (now + GATHER).max(self.times.last_cycle + self.cycle() * EARLY);
+            if next < self.times.next_cycle {
+                self.times.next_cycle = next;
                 out.wake((next - now).max(GATHER), 1);
             }
         }
-        let cycle = now >= self.next_cycle;
+        let cycle = now >= self.times.next_cycle;
         if cycle {
             self.move_trust(now);
             self.move_crowding(now);
             self.move_line(now);
             self.check_health(now, out);
-            self.last_cycle = now;
-            self.next_cycle = now + self.cycle() * OVERDUE;
+            self.times.last_cycle = now;
+            self.times.next_cycle = now + self.cycle() * OVERDUE;
         }
-        let drained = (now - self.waiting_at) * self.channel.lines_per_second * SURE_PACE;
+        let drained = (now - self.times.waiting_at) * self.channel.lines_per_second * SURE_PACE;
         self.waiting = (self.waiting - drained).max(0.0);
-        self.waiting_at = now;
+        self.times.waiting_at = now;
         if self.site.slices > 0 {
             self.keep_slices(round, now, out);
-        } else if cycle || urgent || now >= self.next_beat {
+        } else if cycle || urgent || now >= self.times.next_beat {
             self.send_tables(cycle, now, out);
         }
-        if now >= self.next_beat {
-            self.next_beat = now + BEAT;
+        if now >= self.times.next_beat {
+            self.times.next_beat = now + BEAT;
             out.wake(BEAT, 0);
         }
     }
@@ -336,16 +306,16 @@
         for list in lists {
             match list.news {
                 ListNews::Failed => {
-                    self.asked_at = None;
-                    self.ask_at = now + BEAT * (1.0 + self.chance.part());
+                    self.times.asked_at = None;
+                    self.times.ask_at = now + BEAT * (1.0 + self.chance.part());
                 }
                 ListNews::Cached => {}
-                _ => self.ask_at = f64::INFINITY,
+                _ => self.times.ask_at = f64::INFINITY,
             }
         }
-        let overdue = self.asked_at.is_some_and(|at| now - at > self.rules.ask_within / 2.0);
-        if now >= self.ask_at && (self.asked_at.is_none() || overdue) {
-            self.asked_at = Some(now);
+        let overdue = self.times.asked_at.is_some_and(|at| now - at > self.rules.ask_within / 2.0);
+        if now >= self.times.ask_at && (self.times.asked_at.is_none() || overdue) {
+            self.times.asked_at = Some(now);
             out.follow_list();
         }
     }
@@ -354,8 +324,8 @@
         if all.is_empty() {
             return;
         }
-        self.first_heard.get_or_insert(now);
-        self.heard_at = now;
+        self.times.first_heard.get_or_insert(now);
+        self.times.heard_at = Some(now);
         for tries in all {
             let Some(server) = self.servers.get_mut(&tries.server) else { continue };
             let answers = (tries.tries - tries.failed).max(0.0);
@@ -474,7 +444,7 @@
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum();
         let listed: f64 = self.servers.values().map(|s| s.size).sum();
         if listed > 0.0 {
-            self.proven = self.proven.max(usual / listed);
+            self.line.proven = self.line.proven.max(usual / listed);
         }
         let answers: f64 = self.servers.values().map(|s| s.answers.read(now)).sum();
         let failed: f64 = self.servers.values().map(|s| s.failed.read(now)).sum();
@@ -486,28 +456,28 @@
             let (answers, failed) = (s.answers.read(now), s.failed.read(now));
             (s.time.read(now) / due + failed) / (answers + failed).max(f64::MIN_POSITIVE)
         });
-        self.pressure = median(each.collect()).unwrap_or(0.0);
-        let Some(since) = self.first_heard else { return };
+        self.line.pressure = median(each.collect()).unwrap_or(0.0);
+        let Some(since) = self.times.first_heard else { return };
         let period = self.site.report_period;
         let span = seconds_held(SERVER_SPAN, period, now - since + period);
         let (answered, offered) = (answers / span, self.demand(false, now).iter().sum::<f64>());
         if weight > 0.0 {
-            self.proven = self.proven.max(answered / weight);
+            self.line.proven = self.line.proven.max(answered / weight);
         }
-        self.met = (answers + failed) / span;
-        if self.pressure > LATE {
-            let least = LINE_LEAST * self.proven * weight;
-            self.limit = self.limit.min(offered).min((answered * LINE_FALL).max(least));
-        } else if self.pressure < EASY {
-            self.limit *= LINE_RISE;
+        self.line.met = (answers + failed) / span;
+        if self.line.pressure > LATE {
+            let least = LINE_LEAST * self.line.proven * weight;
+            self.line.limit = self.line.limit.min(offered).min((answered * LINE_FALL).max(least));
+        } else if self.line.pressure < EASY {
+            self.line.limit *= LINE_RISE;
         }
         // Refused clients come again and are refused again: what is offered grows with refusing, and
         // what was let in, over the line of that time, tells how many there are to begin with.
-        self.line_held += (self.line - self.line_held) * (self.cycle() / LINE_SPAN).min(1.0);
-        let first = (self.met / self.line_held).min(offered);
-        let clients = (first + (offered - first) * self.line_held).max(1.0);
-        self.limit = self.limit.clamp(1.0, clients * LINE_RISE);
-        self.line = (self.limit / clients).min(1.0);
+        self.line.held += (self.line.part - self.line.held) * (self.cycle() / LINE_SPAN).min(1.0);
+        let first = (self.line.met / self.line.held).min(offered);
+        let clients = (first + (offered - first) * self.line.held).max(1.0);
+        self.line.limit = self.line.limit.clamp(1.0, clients * LINE_RISE);
+        self.line.part = (self.line.limit / clients).min(1.0);
     }
 
     /// How much of its capacity a crowded zone counts: it moves towards the fleet's mean of queries
@@ -560,7 +530,7 @@
 
     /// The lines of each zone's table, and the part of its queries that may be let in on them.
     fn wanted_lines(&self, now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
-        let flows = if now - self.heard_at > STALE {
+        let flows = if self.times.heard_at.is_none_or(|at| now - at > STALE) {
             let count = self.by_zone(|server| self.trust_now(server, now));
             let all = count.iter().sum::<f64>().max(f64::MIN_POSITIVE);
             vec![count.iter().map(|c| c / all).collect(); self.site.zones]
@@ -583,7 +553,7 @@
 
     /// Whether reports have come for long enough to go by them.
     fn is_settled(&self, now: f64) -> bool {
-        self.first_heard.is_some_and(|since| now - since > SETTLED)
+        self.times.first_heard.is_some_and(|since| now - since > SETTLED)
     }
 
     /// Queries a second that a cold server may be sent at most, by all zones together. None counts
@@ -592,7 +562,7 @@
         let part = self.warm_part(server, now) * self.rules.fall_multiple * COLD_BUDGET;
         // A pilot that has just started may be amid a jam, where demand doubles between reports.
         let sure = if self.is_settled(now) { 1.0 } else { UNSURE };
-        self.proven * server.size.min(usual_size) * part * sure
+        self.line.proven * server.size.min(usual_size) * part * sure
     }
 
     /// Guards cold servers against being pushed over: whatever trust and flows say, none gets more
@@ -603,7 +573,7 @@
     fn spare_the_cold(&self, wanted: &mut [BTreeMap<Address, f64>], now: f64) -> Vec<f64> {
         let demand = self.demand(true, now);
         let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let scale = all.max(self.met) / all;
+        let scale = all.max(self.line.met) / all;
         let is_cold = |server: &Server| self.is_cold(server, now);
         let usual_size = median(self.servers.values().map(|s| s.size).collect()).unwrap_or(0.0);
         let warm: Vec<(Address, f64)> = (self.servers.iter().filter(|(_, s)| s.is_ready() && !is_cold(s)))
@@ -639,10 +609,10 @@
         let benefit: Vec<f64> = self.classes.iter().map(|c| c.benefit).collect();
         // A second try helps against a few bad servers and feeds a jam; the first reports, of what
         // was answered soonest, do not tell the two apart.
-        let mode = if self.is_settled(now) && self.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
+        let mode = if self.is_settled(now) && self.line.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
         let step = |level: f64| (level / LEVEL_STEP).round() * LEVEL_STEP;
         let here = self.proxies.values().filter(|p| p.joined && p.zone == zone).count().max(1) as f64;
-        let levels = levels(self.line.min(placed), &benefit, &demand).into_iter().enumerate();
+        let levels = levels(self.line.part.min(placed), &benefit, &demand).into_iter().enumerate();
         let levels = levels.map(|(class, level)| match self.site.levels {
             Levels::Share => step(level),
             Levels::Rate if level < 1.0 => (level * came(Some(zone), class)
@@ -701,63 +671,83 @@
         }
     }
 
+    /// What a zone's table should say otherwise: first what can't wait, then the largest moves.
+    fn changes(&self, zone: usize, wanted: &BTreeMap<Address, f64>, now: f64) -> Vec<Change> {
+        let lines = &self.tables[zone].lines;
+        let dropped = lines.iter().filter(|(address, _)| !wanted.contains_key(address));
+        let mut changes: Vec<Change> = dropped
+            .map(|(address, sent)| Change {
+                server: *address,
+                weight: 0.0,
+                moved: *sent,
+                must: !self.servers[address].is_ready(),
+            })
+            .collect();
+        for (address, weight) in wanted {
+            let sent = lines.get(address).copied().unwrap_or(0.0);
+            let moved = (weight - sent).abs();
+            if moved > MOVED * sent {
+                let must = *weight < sent / 2.0 && self.is_cold(&self.servers[address], now);
+                changes.push(Change { server: *address, weight: *weight, moved, must });
+            }
+        }
+        changes.sort_by(|a, b| b.must.cmp(&a.must).then(b.moved.total_cmp(&a.moved)));
+        // Leaving all servers at once must not leave the proxies without any.
+        let left = lines.len() - changes.iter().filter(|c| c.must && c.weight == 0.0).count();
+        if left == 0 {
+            changes.iter_mut().filter(|c| !c.must).for_each(|c| c.must = true);
+        }
+        changes
+    }
+
+    /// Sends what fits of each table's changes, then binds the proxies that hold none.
+    ///
+    /// Guards against a channel too small for the fleet: all changes of a table together may never
+    /// fit, then none would ever go out. The largest go first and the rest in later cycles; what
+    /// can't wait has room of its own. Should help too while a channel is slow; what is left out
+    /// makes a table differ from what is wanted for some cycles.
     fn send_tables(&mut self, cycle: bool, now: f64, out: &mut dyn Writer) {
         let wanted = self.wanted_lines(now);
+        let mut tables = wanted.len();
         for (zone, (wanted, placed)) in wanted.into_iter().enumerate() {
-            let levels = self.wanted_levels(zone, placed, now);
-            let table = &self.tables[zone];
-            let gone = table.lines.iter().any(|(address, sent)| match wanted.get(address) {
-                Some(weight) => *weight < sent / 2.0 && self.is_cold(&self.servers[address], now),
-                None => !self.servers[address].is_ready(),
-            });
-            let bound: Vec<u16> =
+            let users: Vec<u16> =
                 self.proxies.iter().filter(|(_, p)| p.bound && p.zone == zone).map(|(id, _)| *id).collect();
-            let urgent = gone || table.lines.is_empty();
-            if !(cycle || urgent) {
-                continue;
-            }
-            let mut changes: Vec<(Address, f64)> = Vec::new();
-            for address in table.lines.keys().filter(|a| !wanted.contains_key(a)) {
-                changes.push((*address, 0.0));
-            }
-            for (address, weight) in &wanted {
-                let old = table.lines.get(address).copied().unwrap_or(0.0);
-                if (weight - old).abs() > MOVED * old {
-                    changes.push((*address, *weight));
-                }
-            }
-            let mut turns: Vec<usize> = Vec::new();
-            for (class, level) in levels.iter().enumerate() {
-                if table.levels.get(class) != Some(level) {
-                    turns.push(class);
-                }
-            }
-            if changes.is_empty() && turns.is_empty() {
+            let changes = self.changes(zone, &wanted, now);
+            let must = changes.iter().filter(|c| c.must).count();
+            tables -= 1;
+            if !cycle && must == 0 {
                 continue;
             }
-            let lines = self.channel.header_lines + (changes.len() + turns.len()) as f64;
-            let cost = lines * bound.len() as f64;
-            let fill = if urgent { URGENT_FILL } else { ORDINARY_FILL };
-            if self.waiting + cost > fill * self.channel.most_waiting
-                || !bound.iter().all(|id| self.room(&self.proxies[id], urgent, now))
-            {
+            let levels = self.wanted_levels(zone, placed, now);
+            let held = &self.tables[zone].levels;
+            let turns: Vec<usize> =
+                (0..levels.len()).filter(|class| held.get(*class) != Some(&levels[*class])).collect();
+            let each = users.len().max(1) as f64;
+            let most = self.channel.most_waiting;
+            let ordinary = (ORDINARY_FILL * most - self.waiting) / (tables + 1) as f64 / each;
+            let urgent = (URGENT_FILL * most - self.waiting) / each;
+            let room = ordinary.max(urgent.min(self.channel.header_lines + must as f64));
+            let room = if users.is_empty() { f64::INFINITY } else { room - self.channel.header_lines };
+            let fit = (room.max(0.0) as usize).min(changes.len() + turns.len());
+            if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], must > 0, now)) {
                 continue;
             }
-            self.waiting += cost;
-            for id in &bound {
+            self.waiting += (self.channel.header_lines + fit as f64) * users.len() as f64;
+            for id in &users {
                 self.proxies.entry(*id).or_default().sent.push_back(now);
             }
+            let kept = fit.saturating_sub(turns.len()).max(must.min(fit));
             let table = &mut self.tables[zone];
-            for (address, weight) in changes {
-                out.weigh(zone as u16, address, weight);
-                if weight > 0.0 {
-                    table.lines.insert(address, weight);
+            for change in changes.into_iter().take(kept) {
+                out.weigh(zone as u16, change.server, change.weight);
+                if change.weight > 0.0 {
+                    table.lines.insert(change.server, change.weight);
                 } else {
-                    table.lines.remove(&address);
+                    table.lines.remove(&change.server);
                 }
             }
-            table.levels.resize(levels.len(), (1.0, 0));
-            for class in turns {
+            table.levels.resize(levels.len(), (f64::NAN, 0));
+            for class in turns.into_iter().take(fit - kept.min(fit)) {
                 table.levels[class] = levels[class];
                 out.admit(zone as u16, 1 << class, levels[class].0, levels[class].1);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,3 +87,49 @@
     /// By class: the level, and the wire's retry mode.
     pub levels: Vec<(f64, u8)>,
 }
+
+/// A line of a table that should say something else.
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub server: Address,
+    pub weight: f64,
+    pub moved: f64,
+    /// It can't wait for a cycle.
+    pub must: bool,
+}
+
+/// The line of benefit, and what it goes by.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Part of all queries that is let in.
+    pub part: f64,
+    /// That part, as it was while what is measured now was let in.
+    pub held: f64,
+    /// Queries a second that are let in.
+    pub limit: f64,
+    /// The usual server's time and failures, over the due time.
+    pub pressure: f64,
+    /// Answers a second that a unit of weight has been seen to give, at most.
+    pub proven: f64,
+    /// Tries a second that came to an end.
+    pub met: f64,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Line { part: 1.0, held: 1.0, limit: f64::INFINITY, pressure: 0.0, proven: 0.0, met: 0.0 }
+    }
+}
+
+/// When what happened last, or is to happen next.
+#[derive(Clone, Debug, Default)]
+pub struct Times {
+    pub waiting_at: f64,
+    pub asked_at: Option<f64>,
+    pub ask_at: f64,
+    pub first_heard: Option<f64>,
+    pub heard_at: Option<f64>,
+    pub last_cycle: f64,
+    pub next_cycle: f64,
+    pub next_beat: f64,
+}
