Deal servers and proxies to groups, so that tables stay short where the fleet is large

Cause: a full table for each proxy takes the channel seconds at this size (13,600 lines at 8,300 a second for one pilot of four), so binds, withdrawals and each change came late; standing tables, drawn by chance, carried the first seconds. Now a zone's servers and proxies are dealt to as many groups as the channel asks for (a whole table for each proxy within half a second, eight servers of a zone at least); a group is planned as the design says, one table a zone. Trust no longer falls on answers owed: reports are merged and late here, so a missing report is no silence; what never answers is reported as failed. Harm: a group's few proxies may be unlike the others'; the fewest groups that fit are used.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,17 +1,16 @@
 //! All decisions of one pilot.
 //!
-//! `Balancer::new` is given what the pilot is told at its start; `Balancer::round` is then called
-//! once a round with all that came in and writes its orders straight into the `Writer` passed with
-//! the call. What both are given is in `round.rs`, the whole interface; `state.rs` remembers,
-//! `sums.rs` and `chance.rs` count and draw. The cycle, top to bottom: what came in, trust, demand,
-//! capacity, flows, levels, orders.
+//! `Balancer::new` is given what the pilot is told at its start; `Balancer::round` is then called once a
+//! round with all that came in and writes its orders straight into the `Writer` passed with the call. What
+//! both are given is in `round.rs`, the whole interface; `state.rs` remembers, `sums.rs` and `chance.rs`
+//! count and draw. The cycle, top to bottom: what came in, trust, demand, capacity, flows, levels, orders.
 
 use crate::chance::Chance;
 use crate::round::{
     Address, Channel, Levels, List, ListNews, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
 };
 use crate::state::{Change, Line, Proxy, Server, Table, Times};
-use crate::sums::{seconds_held, Fading};
+use crate::sums::{least, median, seconds_held, Fading};
 use std::collections::BTreeMap;
 
 /// s; how often deferred orders are looked at again. Well under every grace.
@@ -47,8 +46,6 @@
 const FAILING: f64 = 0.25;
 /// s; a server dropped from a list that may err is kept while its last answer is younger.
 const SILENT_SPAN: f64 = 5.0;
-/// Tries; a server that owes so many answers in a row is taken for silent.
-const SILENT: f64 = 8.0;
 /// Part of the trust that its answers speak for which a server keeps whatever its times and failures.
 const CREDIT: f64 = 0.7;
 /// Times; a zone holding more than this multiple of the fleet's mean is crowded (design).
@@ -59,12 +56,16 @@
 const DISTRUSTED: f64 = 0.5;
 /// Part; no zone's capacity counts less than this part of its servers (design).
 const FLOOR: f64 = 0.05;
+/// s; the channel should not need longer than this for a whole table to each of its proxies.
+const TABLE_TIME: f64 = 0.5;
+/// Servers of a zone; a group has about as many at least, or trouble of one weighs too much in it.
+const LEAST_GROUP: f64 = 8.0;
+/// Times its size; a server moves to another group where that much is missing.
+const UNEVEN: f64 = 1.5;
 /// Part of a table's queries; a line for less is not worth a connection.
 const LEAST_LINE: f64 = 1e-4;
 /// Part; smallest move of a weight that is sent (design).
 const MOVED: f64 = 0.1;
-/// Part of the multiple at which a cold server falls over that bounds its trust, times what it can do.
-const COLD_MARGIN: f64 = 0.3;
 /// Part of the multiple at which a cold server falls over that it is given: a third, as reports are late.
 const COLD_BUDGET: f64 = 0.3;
 /// Part of the cold budget that holds before that, as demand may double from one report to the next.
@@ -118,35 +119,26 @@
 }
 
 pub fn kept_and_spilled(demand: &[f64], capacity: &[f64]) -> Vec<Vec<f64>> {
-    let total = |x: &[f64]| x.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let (all_demand, all_capacity) = (total(demand), total(capacity));
-    let demand: Vec<f64> = demand.iter().map(|d| d / all_demand).collect();
-    let capacity: Vec<f64> = capacity.iter().map(|c| c / all_capacity).collect();
+    let shares = |x: &[f64]| -> Vec<f64> {
+        let all = x.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        x.iter().map(|part| part / all).collect()
+    };
+    let (demand, capacity) = (shares(demand), shares(capacity));
     let spare: Vec<f64> = demand.iter().zip(&capacity).map(|(d, c)| (c - d).max(0.0)).collect();
     let all_spare: f64 = spare.iter().sum();
-    let mut flows = Vec::new();
-    for zone in 0..demand.len() {
-        let mut keep = if demand[zone] > 0.0 {
-            (capacity[zone] / demand[zone]).min(1.0)
-        } else {
-            f64::from(u8::from(capacity[zone] > 0.0))
+    let flow = |zone: usize| {
+        let keep = match capacity[zone] {
+            own if demand[zone] > 0.0 && all_spare > 0.0 => (own / demand[zone]).min(1.0),
+            own => f64::from(u8::from(own > 0.0)),
         };
-        if all_spare <= 0.0 && capacity[zone] > 0.0 {
-            keep = 1.0;
-        }
-        let flow = (0..demand.len()).map(|other| match () {
+        let to = |other: usize| match () {
             () if other == zone => keep,
             () if all_spare > 0.0 => (1.0 - keep) * spare[other] / all_spare,
             () => (1.0 - keep) * capacity[other],
-        });
-        flows.push(flow.collect());
-    }
-    flows
-}
-
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
+        };
+        (0..capacity.len()).map(to).collect()
+    };
+    (0..demand.len()).map(flow).collect()
 }
 
 /// Levels by class: the line lets in this part of all queries, the most beneficial classes first.
@@ -195,16 +187,12 @@
         for stream in &round.streams {
             let zone = usize::from(stream.zone).min(self.site.zones - 1);
             let proxy = self.proxies.entry(stream.proxy).or_default();
-            proxy.joined = stream.up;
-            proxy.bound = false;
-            if stream.up {
-                proxy.zone = zone;
-                proxy.rate = stream.rate;
-                proxy.sent.clear();
-                proxy.since = None;
-                proxy.came.clear();
-                urgent = true;
-            }
+            let (group, rate) = (proxy.group, stream.rate);
+            *proxy = Proxy { zone, group, rate, joined: stream.up, ..Proxy::default() };
+            urgent |= stream.up;
+        }
+        if !round.lists.is_empty() || !round.streams.is_empty() {
+            self.deal();
         }
         for query in &round.queries {
             let classes = self.classes.len();
@@ -300,8 +288,52 @@
         urgent
     }
 
-    /// Where the list must be asked for: subscribe, ask again after a failure, and never let the
-    /// stated time pass without an answer.
+    /// Deals servers and proxies to groups; each group has a table for each zone, of its own servers.
+    ///
+    /// Guards against tables too long for the channel: a full one for each proxy of a large fleet takes
+    /// seconds, and so does each change. Should help as well where servers accept few connections; could
+    /// harm where a group's few proxies or servers are unlike the others', so there are as few groups as
+    /// the channel allows, and one where the fleet is small.
+    fn deal(&mut self) {
+        let zones = self.site.zones;
+        if self.tables.iter().all(|t| t.lines.is_empty()) && !self.proxies.values().any(|p| p.bound) {
+            let each = (self.site.proxies / self.site.pilots as f64).max(1.0);
+            let lines = self.channel.lines_per_second * TABLE_TIME / each - self.channel.header_lines;
+            let most = self.by_zone(|_| 1.0).into_iter().fold(0.0, f64::max);
+            let groups = (most / lines.max(LEAST_GROUP)).ceil().max(1.0);
+            self.tables = vec![Table::default(); zones * groups as usize];
+        }
+        let groups = self.tables.len() / zones;
+        let (mut sizes, mut rates) = (vec![vec![0.0; groups]; zones], vec![vec![0.0; groups]; zones]);
+        for server in self.servers.values().filter(|s| s.is_ready() && s.group < groups) {
+            sizes[server.zone][server.group] += server.size;
+        }
+        for proxy in self.proxies.values().filter(|p| p.joined && p.group < groups) {
+            rates[proxy.zone][proxy.group] += proxy.rate;
+        }
+        // What left or came back makes groups uneven: fuller ones give to the emptiest.
+        for server in self.servers.values_mut().filter(|s| s.is_ready()) {
+            let (sizes, new) = (&mut sizes[server.zone], server.group >= groups);
+            let to = least(sizes, || self.chance.part());
+            if new || sizes[server.group] - sizes[to] > server.size * UNEVEN {
+                sizes[if new { to } else { server.group }] -= if new { 0.0 } else { server.size };
+                sizes[to] += server.size;
+                server.group = to;
+            }
+        }
+        for proxy in self.proxies.values_mut().filter(|p| p.joined && p.group >= groups) {
+            proxy.group = least(&rates[proxy.zone], || self.chance.part());
+            rates[proxy.zone][proxy.group] += proxy.rate;
+        }
+    }
+
+    /// The place of a proxy's table.
+    fn place(&self, proxy: &Proxy) -> usize {
+        proxy.group.min(self.tables.len() / self.site.zones - 1) * self.site.zones + proxy.zone
+    }
+
+    /// Where the list must be asked for: subscribe, ask again after a failure, and never let the stated
+    /// time pass without an answer.
     fn follow_list(&mut self, lists: &[List], now: f64, out: &mut dyn Writer) {
         for list in lists {
             match list.news {
@@ -335,37 +367,13 @@
                 server.answers.add(now, answers);
                 server.time.add(now, tries.time * answers);
                 server.answered_at = now;
-                server.owed = 0.0;
-            }
-        }
-        let total: f64 = all.iter().map(|t| t.tries).sum();
-        let shares = self.shares(now);
-        for (address, share) in shares {
-            if let Some(server) = self.servers.get_mut(&address) {
-                if server.answered_at < now {
-                    server.owed += share * total;
-                }
             }
         }
     }
 
-    /// Each server's part of all tries, by the tables as sent and the zones' demand.
-    fn shares(&self, now: f64) -> BTreeMap<Address, f64> {
-        let demand = self.demand(false, now);
-        let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let mut shares = BTreeMap::new();
-        for (table, demand) in self.tables.iter().zip(demand) {
-            let sum: f64 = table.lines.values().sum();
-            for (address, weight) in &table.lines {
-                *shares.entry(*address).or_insert(0.0) += weight / sum * demand / all;
-            }
-        }
-        shares
-    }
-
-    /// Queries a second by proxy zone; for what must not be exceeded, no proxy counts less than usual.
+    /// Queries a second by table; for what must not be exceeded, no proxy counts less than usual.
     fn demand(&self, at_least_usual: bool, now: f64) -> Vec<f64> {
-        let mut demand = vec![0.0; self.site.zones];
+        let mut demand = vec![0.0; self.tables.len()];
         for proxy in self.proxies.values().filter(|p| p.joined) {
             let came: f64 = proxy.came.iter().map(|c| c.read(now)).sum();
             // A proxy that has just come counts as it usually does until its reports say more.
@@ -377,13 +385,13 @@
             };
             let span = held + USUAL_SPAN * fresh;
             let measured = (came + proxy.rate * USUAL_SPAN * fresh) / span;
-            demand[proxy.zone] += if at_least_usual { measured.max(proxy.rate) } else { measured };
+            demand[self.place(proxy)] += if at_least_usual { measured.max(proxy.rate) } else { measured };
         }
         demand
     }
 
-    /// Trust falls at once to what a server deserves and comes back step by step, in cycles that
-    /// brought answers.
+    /// Trust falls at once to what a server deserves and comes back step by step, in cycles that brought
+    /// answers.
     fn move_trust(&mut self, now: f64) {
         let heard = |s: &Server| s.is_ready() && s.answers.read(now) >= 1.0;
         let times = self.servers.values().filter(|s| heard(s)).map(|s| s.mean_time(now, 0.0, 0.0)).collect();
@@ -396,25 +404,18 @@
             answers += server.answers.read(now);
             trusted += server.weight * server.trust;
         }
-        let per_trust = if trusted > 0.0 { answers / trusted } else { 0.0 };
+        let per_trust = answers / trusted.max(f64::MIN_POSITIVE);
         for server in self.servers.values_mut() {
             let speed = match server.mean_time(now, usual, PRIOR_ANSWERS) {
                 time if time > 0.0 => usual / time,
                 _ => 1.0,
             };
             let failing = (server.part_failed(now, PRIOR_ANSWERS) - usual_failed).max(0.0);
-            let mut due = speed.min(TOP_TRUST) * (1.0 - failing / FAILING).max(0.0);
-            if server.owed > SILENT {
-                due = 0.0;
-            }
+            let due = speed.min(TOP_TRUST) * (1.0 - failing / FAILING).max(0.0);
             // Guards against a jam taken for a fault: what still answers at a good rate is full, not
-            // broken, and taking all its part away pours it onto the next. Should help in any
-            // overload of a zone or server; a server whose answers all come late keeps too much
-            // for a cycle or two.
-            let credit = match server.weight * per_trust {
-                full if full > 0.0 => server.answers.read(now) / full,
-                _ => 0.0,
-            };
+            // broken, and taking all its part away pours it onto the next. Should help in any overload of a
+            // zone or server; a server whose answers all come late keeps too much for a cycle or two.
+            let credit = server.answers.read(now) / (server.weight * per_trust).max(f64::MIN_POSITIVE);
             let due = due.max(CREDIT * credit).max(TRICKLE);
             if due < server.trust {
                 server.trust = due;
@@ -424,10 +425,10 @@
         }
     }
 
-    /// Guards against a return that shows too late: a server that has just started gets few queries,
-    /// so a check that it answers counts for a cycle with answers. Should help wherever much has to
-    /// come back at once; a check says only that the process runs, so it is no word for a server
-    /// that is warm and slow, lifts trust no higher than what queries tell, and costs some work.
+    /// Guards against a return that shows too late: a server that has just started gets few queries, so a
+    /// check that it answers counts for a cycle with answers. Should help wherever much has to come back at
+    /// once; a check says only that the process runs, so it is no word for a server that is warm and slow,
+    /// lifts trust no higher than what queries tell, and costs some work.
     fn check_health(&self, now: f64, out: &mut dyn Writer) {
         let new = |s: &Server| self.is_cold(s, now) && s.trust < CHECKED;
         let checked = self.servers.iter().filter(|(_, s)| s.is_ready() && new(s));
@@ -436,11 +437,11 @@
         }
     }
 
-    /// The line of benefit falls while answers come late or not at all, and rises again after. A
-    /// failed try counts as one that took the whole due time: a jammed fleet refuses quickly.
+    /// The line of benefit falls while answers come late or not at all, and rises again after. A failed try
+    /// counts as one that took the whole due time: a jammed fleet refuses quickly.
     fn move_line(&mut self, now: f64) {
-        // What the proxies usually bring is what the whole fleet can do, as far as a pilot that has
-        // just started knows; without it a restart amid trouble would know no budget at all.
+        // What the proxies usually bring is what the whole fleet can do, as far as a pilot that has just
+        // started knows; without it a restart amid trouble would know no budget at all.
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum();
         let listed: f64 = self.servers.values().map(|s| s.size).sum();
         if listed > 0.0 {
@@ -471,8 +472,8 @@
         } else if self.line.pressure < EASY {
             self.line.limit *= LINE_RISE;
         }
-        // Refused clients come again and are refused again: what is offered grows with refusing, and
-        // what was let in, over the line of that time, tells how many there are to begin with.
+        // Refused clients come again and are refused again: what is offered grows with refusing, and what
+        // was let in, over the line of that time, tells how many there are to begin with.
         self.line.held += (self.line.part - self.line.held) * (self.cycle() / LINE_SPAN).min(1.0);
         let first = (self.line.met / self.line.held).min(offered);
         let clients = (first + (offered - first) * self.line.held).max(1.0);
@@ -480,8 +481,8 @@
         self.line.part = (self.line.limit / clients).min(1.0);
     }
 
-    /// How much of its capacity a crowded zone counts: it moves towards the fleet's mean of queries
-    /// in flight over its own, a part of the way each cycle, as what it spills shows only later.
+    /// How much of its capacity a crowded zone counts: it moves towards the fleet's mean of queries in
+    /// flight over its own, a part of the way each cycle, as what it spills shows only later.
     fn move_crowding(&mut self, now: f64) {
         let counts = |s: &Server| s.answers.read(now) > 0.0 && s.trust > DISTRUSTED;
         let held = self.by_zone(|s| if counts(s) { s.time.read(now) } else { 0.0 });
@@ -503,12 +504,14 @@
         sums
     }
 
-    /// Capacity of each zone: servers times trust; a crowded zone counts less, none under the floor.
-    fn capacity(&self, now: f64) -> Vec<f64> {
-        let servers = self.by_zone(|server| server.weight);
-        let trusted = self.by_zone(|server| server.weight * self.trust_now(server, now));
-        let zones = servers.iter().zip(trusted).zip(&self.crowding);
-        zones.map(|((servers, trusted), crowding)| (trusted * crowding).max(FLOOR * servers)).collect()
+    /// The ready servers of a group; all of them where it has none that is warm.
+    fn members(&self, group: usize, now: f64) -> Vec<(Address, &Server)> {
+        let ready = self.servers.iter().filter(|(_, s)| s.is_ready()).map(|(address, s)| (*address, s));
+        let own: Vec<_> = ready.clone().filter(|(_, s)| s.group == group).collect();
+        if own.iter().any(|(_, s)| !self.is_cold(s, now)) {
+            return own;
+        }
+        ready.collect()
     }
 
     /// The part of its capacity that a server surely has by now.
@@ -521,29 +524,33 @@
         self.warm_part(server, now) < 1.0
     }
 
-    fn trust_now(&self, server: &Server, now: f64) -> f64 {
-        if !self.is_cold(server, now) {
-            return server.trust;
-        }
-        server.trust.min(self.warm_part(server, now) * self.rules.fall_multiple * COLD_MARGIN)
-    }
-
-    /// The lines of each zone's table, and the part of its queries that may be let in on them.
+    /// The lines of each table, and the part of its queries that may be let in on them.
     fn wanted_lines(&self, now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
-        let flows = if self.times.heard_at.is_none_or(|at| now - at > STALE) {
-            let count = self.by_zone(|server| self.trust_now(server, now));
+        let zones = self.site.zones;
+        let blind = self.times.heard_at.is_none_or(|at| now - at > STALE);
+        let mut wanted = vec![BTreeMap::new(); self.tables.len()];
+        for (group, demand) in self.demand(false, now).chunks(zones).enumerate() {
+            // Capacity: servers times trust; a crowded zone counts less, none under the floor.
+            let (mut parts, mut count, mut capacity) = (vec![0.0; zones], vec![0.0; zones], vec![0.0; zones]);
+            let members = self.members(group, now);
+            for (_, server) in &members {
+                count[server.zone] += if blind { server.trust } else { server.weight };
+                parts[server.zone] += server.weight * server.trust;
+            }
+            for zone in 0..zones {
+                capacity[zone] = (parts[zone] * self.crowding[zone]).max(FLOOR * count[zone]);
+            }
             let all = count.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-            vec![count.iter().map(|c| c / all).collect(); self.site.zones]
-        } else {
-            kept_and_spilled(&self.demand(false, now), &self.capacity(now))
-        };
-        let parts = self.by_zone(|server| server.weight * self.trust_now(server, now));
-        let mut wanted = vec![BTreeMap::new(); self.site.zones];
-        for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready()) {
-            let part = server.weight * self.trust_now(server, now) / parts[server.zone];
-            for (lines, flow) in wanted.iter_mut().zip(&flows) {
-                if flow[server.zone] * part > LEAST_LINE {
-                    lines.insert(*address, flow[server.zone] * part);
+            let flows = match blind {
+                true => vec![count.iter().map(|c| c / all).collect(); zones],
+                false => kept_and_spilled(demand, &capacity),
+            };
+            for (address, server) in members {
+                let part = server.weight * server.trust / parts[server.zone];
+                for (zone, flow) in flows.iter().enumerate() {
+                    if flow[server.zone] * part > LEAST_LINE {
+                        wanted[group * zones + zone].insert(address, flow[server.zone] * part);
+                    }
                 }
             }
         }
@@ -556,8 +563,8 @@
         self.times.first_heard.is_some_and(|since| now - since > SETTLED)
     }
 
-    /// Queries a second that a cold server may be sent at most, by all zones together. None counts
-    /// as larger than most: some lists lower the weight of busy servers, and a cold one is idle.
+    /// Queries a second that a cold server may be sent at most, by all zones together. None counts as
+    /// larger than most: some lists lower the weight of busy servers, and a cold one is idle.
     fn cold_limit(&self, server: &Server, usual_size: f64, now: f64) -> f64 {
         let part = self.warm_part(server, now) * self.rules.fall_multiple * COLD_BUDGET;
         // A pilot that has just started may be amid a jam, where demand doubles between reports.
@@ -565,21 +572,17 @@
         self.line.proven * server.size.min(usual_size) * part * sure
     }
 
-    /// Guards cold servers against being pushed over: whatever trust and flows say, none gets more
-    /// than its budget, and what is taken from it goes to warm servers of any zone. Where there are
-    /// none, less is let in. Should help whenever warm servers lose trust together or a zone's
-    /// demand is not known yet; could harm where the proven rate is far under what servers can do,
-    /// then a return takes longer. Returns the part that tables still place.
+    /// Guards cold servers against being pushed over: whatever trust and flows say, none gets more than its
+    /// budget, and what is taken from it goes to the group's warm servers of any zone. Where there are
+    /// none, less is let in. Should help whenever warm servers lose trust together or a zone's demand is
+    /// not known yet; could harm where the proven rate is far under what servers can do, then a return
+    /// takes longer. Returns the part that tables still place.
     fn spare_the_cold(&self, wanted: &mut [BTreeMap<Address, f64>], now: f64) -> Vec<f64> {
         let demand = self.demand(true, now);
         let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let scale = all.max(self.line.met) / all;
         let is_cold = |server: &Server| self.is_cold(server, now);
         let usual_size = median(self.servers.values().map(|s| s.size).collect()).unwrap_or(0.0);
-        let warm: Vec<(Address, f64)> = (self.servers.iter().filter(|(_, s)| s.is_ready() && !is_cold(s)))
-            .map(|(address, s)| (*address, s.weight * s.trust))
-            .collect();
-        let warm_all: f64 = warm.iter().map(|(_, part)| part).sum();
         for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready() && is_cold(s)) {
             let sent =
                 wanted.iter().zip(&demand).map(|(lines, d)| lines.get(address).unwrap_or(&0.0) * d * scale);
@@ -591,31 +594,37 @@
             }
         }
         let placed: Vec<f64> = wanted.iter().map(|lines| lines.values().sum()).collect();
-        for (lines, placed) in wanted.iter_mut().zip(&placed).filter(|(_, placed)| **placed < SURELY_ALL) {
-            for (address, part) in &warm {
-                *lines.entry(*address).or_insert(0.0) += (1.0 - placed) * part / warm_all;
+        let mut certain = Vec::new();
+        for (place, (lines, placed)) in wanted.iter_mut().zip(placed).enumerate() {
+            let warm = self.members(place / self.site.zones, now).into_iter().filter(|(_, s)| !is_cold(s));
+            let warm: Vec<_> = warm.map(|(address, s)| (address, s.weight * s.trust)).collect();
+            let all: f64 = warm.iter().map(|(_, part)| part).sum();
+            certain.push(if warm.is_empty() { placed } else { 1.0 });
+            for (address, part) in warm.into_iter().filter(|_| placed < SURELY_ALL) {
+                *lines.entry(address).or_insert(0.0) += (1.0 - placed) * part / all;
             }
         }
-        placed.into_iter().map(|part| if warm.is_empty() { part } else { 1.0 }).collect()
+        certain
     }
 
-    /// Level and retry mode of each class, for the proxies of a zone.
-    fn wanted_levels(&self, zone: usize, placed: f64, now: f64) -> Vec<(f64, u8)> {
-        let came = |zone: Option<usize>, class: usize| -> f64 {
-            let proxies = self.proxies.values().filter(|p| p.joined && zone.is_none_or(|z| p.zone == z));
+    /// Level and retry mode of each class, for the proxies of a table.
+    fn wanted_levels(&self, place: usize, placed: f64, now: f64) -> Vec<(f64, u8)> {
+        let came = |place: Option<usize>, class: usize| -> f64 {
+            let here = |p: &&Proxy| p.joined && place.is_none_or(|at| self.place(p) == at);
+            let proxies = self.proxies.values().filter(here);
             proxies.filter_map(|p| p.came.get(class)).map(|c| c.read(now)).sum()
         };
         let demand: Vec<f64> = (0..self.classes.len()).map(|class| came(None, class)).collect();
         let benefit: Vec<f64> = self.classes.iter().map(|c| c.benefit).collect();
-        // A second try helps against a few bad servers and feeds a jam; the first reports, of what
-        // was answered soonest, do not tell the two apart.
+        // A second try helps against a few bad servers and feeds a jam; the first reports, of what was
+        // answered soonest, do not tell the two apart.
         let mode = if self.is_settled(now) && self.line.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
         let step = |level: f64| (level / LEVEL_STEP).round() * LEVEL_STEP;
-        let here = self.proxies.values().filter(|p| p.joined && p.zone == zone).count().max(1) as f64;
+        let here = self.proxies.values().filter(|p| p.joined && self.place(p) == place).count().max(1) as f64;
         let levels = levels(self.line.part.min(placed), &benefit, &demand).into_iter().enumerate();
         let levels = levels.map(|(class, level)| match self.site.levels {
             Levels::Share => step(level),
-            Levels::Rate if level < 1.0 => (level * came(Some(zone), class)
+            Levels::Rate if level < 1.0 => (level * came(Some(place), class)
                 / seconds_held(DEMAND_SPAN, self.site.report_period, STALE)
                 / here)
                 .ceil(),
@@ -633,8 +642,8 @@
         most == 0 || (used as f64) < most as f64 * part
     }
 
-    /// Slices get the least that is legal: one whose server drains, is gone or was never named gets
-    /// the ready server with the fewest. A sole owner is shut out first, and its writes are let end.
+    /// Slices get the least that is legal: one whose server drains, is gone or was never named gets the
+    /// ready server with the fewest. A sole owner is shut out first, and its writes are let end.
     fn keep_slices(&mut self, round: &Round, now: f64, out: &mut dyn Writer) {
         for charge in &round.charges {
             self.slices.remove(&charge.slice);
@@ -671,9 +680,9 @@
         }
     }
 
-    /// What a zone's table should say otherwise: first what can't wait, then the largest moves.
-    fn changes(&self, zone: usize, wanted: &BTreeMap<Address, f64>, now: f64) -> Vec<Change> {
-        let lines = &self.tables[zone].lines;
+    /// What a table should say otherwise: first what can't wait, then the largest moves.
+    fn changes(&self, place: usize, wanted: &BTreeMap<Address, f64>, now: f64) -> Vec<Change> {
+        let lines = &self.tables[place].lines;
         let dropped = lines.iter().filter(|(address, _)| !wanted.contains_key(address));
         let mut changes: Vec<Change> = dropped
             .map(|(address, sent)| Change {
@@ -700,56 +709,63 @@
         changes
     }
 
-    /// Sends what fits of each table's changes, then binds the proxies that hold none.
+    /// Sends what fits of a table's changes to the proxies that use it.
     ///
-    /// Guards against a channel too small for the fleet: all changes of a table together may never
-    /// fit, then none would ever go out. The largest go first and the rest in later cycles; what
-    /// can't wait has room of its own. Should help too while a channel is slow; what is left out
-    /// makes a table differ from what is wanted for some cycles.
+    /// Guards against a channel too small for the fleet: all changes of a table together may never fit,
+    /// then none would ever go out. The largest go first and the rest in later cycles; what can't wait has
+    /// room of its own. Should help too while a channel is slow; what is left out makes a table differ from
+    /// what is wanted for some cycles.
+    fn send_changes(
+        &mut self,
+        place: usize,
+        changes: Vec<Change>,
+        levels: Vec<(f64, u8)>,
+        share: f64,
+        now: f64,
+        out: &mut dyn Writer,
+    ) {
+        let table = place as u16;
+        let users = self.proxies.iter().filter(|(_, p)| p.bound && self.place(p) == place);
+        let users: Vec<u16> = users.map(|(id, _)| *id).collect();
+        let must = changes.iter().filter(|c| c.must).count();
+        let held = &self.tables[place].levels;
+        let turns = (0..levels.len()).filter(|class| held.get(*class) != Some(&levels[*class]));
+        let turns: Vec<usize> = turns.collect();
+        let lines = |fill: f64| (fill * self.channel.most_waiting - self.waiting) / users.len() as f64;
+        let head = self.channel.header_lines;
+        let urgent = lines(URGENT_FILL).min(head + must as f64);
+        let room = (lines(ORDINARY_FILL) * share).max(urgent) - head;
+        let fit = (room.max(0.0) as usize).min(changes.len() + turns.len());
+        if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], must > 0, now)) {
+            return;
+        }
+        self.waiting += (head + fit as f64) * users.len() as f64;
+        for id in &users {
+            self.proxies.entry(*id).or_default().sent.push_back(now);
+        }
+        let kept = fit.saturating_sub(turns.len()).max(must.min(fit));
+        let held = &mut self.tables[place];
+        for change in changes.into_iter().take(kept) {
+            out.weigh(table, change.server, change.weight);
+            held.lines.insert(change.server, change.weight);
+        }
+        held.lines.retain(|_, weight| *weight > 0.0);
+        held.levels.resize(levels.len(), (f64::NAN, NO_RETRY));
+        for class in turns.into_iter().take(fit.saturating_sub(kept)) {
+            held.levels[class] = levels[class];
+            out.admit(table, 1 << class, levels[class].0, levels[class].1);
+        }
+    }
+
+    /// Changes of tables, in a cycle or where they can't wait; then the proxies that hold none yet.
     fn send_tables(&mut self, cycle: bool, now: f64, out: &mut dyn Writer) {
         let wanted = self.wanted_lines(now);
-        let mut tables = wanted.len();
-        for (zone, (wanted, placed)) in wanted.into_iter().enumerate() {
-            let users: Vec<u16> =
-                self.proxies.iter().filter(|(_, p)| p.bound && p.zone == zone).map(|(id, _)| *id).collect();
-            let changes = self.changes(zone, &wanted, now);
-            let must = changes.iter().filter(|c| c.must).count();
-            tables -= 1;
-            if !cycle && must == 0 {
-                continue;
-            }
-            let levels = self.wanted_levels(zone, placed, now);
-            let held = &self.tables[zone].levels;
-            let turns: Vec<usize> =
-                (0..levels.len()).filter(|class| held.get(*class) != Some(&levels[*class])).collect();
-            let each = users.len().max(1) as f64;
-            let most = self.channel.most_waiting;
-            let ordinary = (ORDINARY_FILL * most - self.waiting) / (tables + 1) as f64 / each;
-            let urgent = (URGENT_FILL * most - self.waiting) / each;
-            let room = ordinary.max(urgent.min(self.channel.header_lines + must as f64));
-            let room = if users.is_empty() { f64::INFINITY } else { room - self.channel.header_lines };
-            let fit = (room.max(0.0) as usize).min(changes.len() + turns.len());
-            if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], must > 0, now)) {
-                continue;
-            }
-            self.waiting += (self.channel.header_lines + fit as f64) * users.len() as f64;
-            for id in &users {
-                self.proxies.entry(*id).or_default().sent.push_back(now);
-            }
-            let kept = fit.saturating_sub(turns.len()).max(must.min(fit));
-            let table = &mut self.tables[zone];
-            for change in changes.into_iter().take(kept) {
-                out.weigh(zone as u16, change.server, change.weight);
-                if change.weight > 0.0 {
-                    table.lines.insert(change.server, change.weight);
-                } else {
-                    table.lines.remove(&change.server);
-                }
-            }
-            table.levels.resize(levels.len(), (f64::NAN, 0));
-            for class in turns.into_iter().take(fit - kept.min(fit)) {
-                table.levels[class] = levels[class];
-                out.admit(zone as u16, 1 << class, levels[class].0, levels[class].1);
+        let tables = wanted.len();
+        for (place, (wanted, placed)) in wanted.into_iter().enumerate() {
+            let changes = self.changes(place, &wanted, now);
+            if cycle || changes.iter().any(|c| c.must) {
+                let levels = self.wanted_levels(place, placed, now);
+                self.send_changes(place, changes, levels, 1.0 / (tables - place) as f64, now, out);
             }
         }
         let window = self.channel.window;
@@ -757,7 +773,8 @@
             self.proxies.iter().filter(|(_, p)| p.joined && !p.bound).map(|(id, _)| *id).collect();
         for id in ids {
             let proxy = &self.proxies[&id];
-            let table = &self.tables[proxy.zone];
+            let place = self.place(proxy);
+            let table = &self.tables[place];
             let lines = 1 + table.lines.len() + table.levels.len();
             let cost = self.channel.header_lines + lines as f64;
             let full = self.waiting + cost > URGENT_FILL * self.channel.most_waiting;
@@ -765,7 +782,7 @@
                 continue;
             }
             self.waiting += cost;
-            out.bind(id, proxy.zone as u16);
+            out.bind(id, place as u16);
             let proxy = self.proxies.entry(id).or_default();
             proxy.bound = true;
             proxy.sent.push_back(now);
--- a/src/round.rs
+++ b/src/round.rs
@@ -61,6 +61,8 @@
 pub struct Site {
     pub zones: usize,
     pub pilots: usize,
+    /// Of all pilots together.
+    pub proxies: f64,
     pub slices: usize,
     pub one_owner: bool,
     pub list_on_request: bool,
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug)]
 pub struct Server {
     pub zone: usize,
+    /// The group it is dealt to; none yet where there is no such group.
+    pub group: usize,
     pub readiness: Readiness,
     pub weight: f64,
     /// The largest weight it was listed with; some lists lower the weight of what is busy.
@@ -20,8 +22,6 @@
     /// Seconds that its answers took together.
     pub time: Fading,
     pub answered_at: f64,
-    /// Answers that it should have given since its last one.
-    pub owed: f64,
 }
 
 impl Server {
@@ -29,6 +29,7 @@
         let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
         Server {
             zone: usize::from(entry.zone),
+            group: usize::MAX,
             readiness: entry.readiness,
             weight,
             size: weight,
@@ -39,7 +40,6 @@
             answers: Fading::over(span),
             time: Fading::over(span),
             answered_at: f64::NEG_INFINITY,
-            owed: 0.0,
         }
     }
 
@@ -66,9 +66,11 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Proxy {
     pub zone: usize,
+    /// As with servers.
+    pub group: usize,
     pub joined: bool,
     pub bound: bool,
     /// Queries a second it usually gets.
@@ -80,7 +82,22 @@
     pub sent: VecDeque<f64>,
 }
 
-/// What the proxies of a zone have been sent last.
+impl Default for Proxy {
+    fn default() -> Self {
+        Proxy {
+            zone: 0,
+            group: usize::MAX,
+            joined: false,
+            bound: false,
+            rate: 0.0,
+            came: Vec::new(),
+            since: None,
+            sent: VecDeque::new(),
+        }
+    }
+}
+
+/// What the proxies that use a table have been sent last.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     pub lines: BTreeMap<Address, f64>,
--- a/src/sums.rs
+++ b/src/sums.rs
@@ -33,3 +33,14 @@
     let period = period.max(1e-3);
     period * faded(age.max(period)) / faded(period)
 }
+
+pub fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
+/// The place of the least; `chance` decides between equals.
+pub fn least(values: &[f64], mut chance: impl FnMut() -> f64) -> usize {
+    let places = values.iter().enumerate().map(|(place, value)| (*value, chance(), place));
+    places.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))).map_or(0, |found| found.2)
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,6 +20,7 @@
     Site {
         zones: 3,
         pilots: 1,
+        proxies: 6.0,
         slices: 0,
         one_owner: false,
         list_on_request: false,
--- a/wirehost/src/conf.rs
+++ b/wirehost/src/conf.rs
@@ -127,6 +127,7 @@
         site: Site {
             zones,
             pilots: (root.num("siblings")? as usize).max(1),
+            proxies: info.num("data-plane-size")?,
             slices: info.num("partitions-n")? as usize,
             one_owner: info.flag("one-owner")?,
             list_on_request: root.word("registry-mode")? == "on_request",
