--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,7 +57,7 @@
 /// Part; no zone's capacity counts less than this part of its servers (design).
 const FLOOR: f64 = 0.05;
 /// s; the channel should not need longer than this for a whole table to each of its proxies.
-const TABLE_TIME: f64 = 0.5;
+const TABLE_TIME: f64 = 0.25;
 /// Servers of a zone; a group has about as many at least, or trouble of one weighs too much in it.
 const LEAST_GROUP: f64 = 8.0;
 /// Times its size; a server moves to another group where that much is missing.
