Put each server in two groups where one pilot deals alone; no more tables than one for five proxies

Several pilots deal by chance and even out through the servers that they share; a pilot alone now puts each server in two groups, where it has tables enough. The design's few tables (under one for five proxies) bound the number of groups.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,9 +8,10 @@
 use crate::chance::Chance;
 use crate::round::{
     Address, Channel, Levels, List, ListNews, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
+    MARK_LINES, NO_RETRY, ONCE_UNRUN,
 };
 use crate::state::{Change, Line, Proxy, Queue, Server, Table, Times};
-use crate::sums::{least, median, seconds_held, Fading};
+use crate::sums::{least, median, seconds_held};
 use std::collections::BTreeMap;
 
 /// s; how often deferred orders are looked at again. Well under every grace.
@@ -60,6 +61,8 @@
 const TABLE_TIME: f64 = 0.25;
 /// Servers of a zone; a group has about as many at least, or trouble of one weighs too much in it.
 const LEAST_GROUP: f64 = 8.0;
+/// Proxies of a pilot; no more tables than one for so many, counted over all zones (design).
+const TABLE_USERS: f64 = 5.0;
 /// Times its size; a server moves to another group where that much is missing.
 const UNEVEN: f64 = 1.5;
 /// Part of a table's queries; a line for less is not worth a connection.
@@ -80,8 +83,6 @@
 const URGENT_FILL: f64 = 0.9;
 /// s; a channel that has not brought a receipt for so long holds nothing for anybody who is left.
 const RECEIPT_SPAN: f64 = 5.0;
-/// Lines; what the mark adds to each message (the wire's).
-const MARK_LINES: f64 = 1.0;
 /// Part of a message cap that ordinary weights may use.
 const ORDINARY_MESSAGES: f64 = 0.6;
 /// Part; the pressure (the usual server's time, failures counted, over the due time) where the line falls.
@@ -100,10 +101,6 @@
 const LEVEL_STEP: f64 = 0.05;
 /// Queries a second at a proxy; more than any gets, where levels are rates and all are let in.
 const NO_LIMIT: f64 = 1e6;
-/// The wire's modes of a further try; one after any failure could run an effect twice and is never used.
-const NO_RETRY: u8 = 0;
-const ONCE_UNRUN: u8 = 1;
-
 pub struct Balancer {
     site: Site,
     classes: Vec<QueryClass>,
@@ -117,6 +114,8 @@
     slices: BTreeMap<u16, (Vec<Address>, f64)>,
     /// How much each zone's crowding lets its servers count.
     crowding: Vec<f64>,
+    /// Groups that each server is in.
+    seats: usize,
     queue: Queue,
     line: Line,
     times: Times,
@@ -175,6 +174,7 @@
             tables,
             slices: BTreeMap::new(),
             crowding,
+            seats: 1,
             queue: Queue::default(),
             line: Line::default(),
             times: Times::default(),
@@ -198,13 +198,8 @@
             self.deal();
         }
         for query in &round.queries {
-            let classes = self.classes.len();
             if let Some(proxy) = self.proxies.get_mut(&query.proxy) {
-                proxy.came.resize(classes, Fading::over(DEMAND_SPAN));
-                proxy.since.get_or_insert(now - query.span);
-                if let Some(came) = proxy.came.get_mut(usize::from(query.class)) {
-                    came.add(now, query.came);
-                }
+                proxy.count(query, self.classes.len(), DEMAND_SPAN, now);
             }
         }
         self.read_tries(&round.tries, now);
@@ -279,7 +274,7 @@
             }
             if known.is_none_or(|s| s.started != entry.started) {
                 let mut server = Server::new(entry, SERVER_SPAN, 1.0);
-                server.group = known.map_or(usize::MAX, |s| s.group);
+                server.groups = known.map_or(Vec::new(), |s| s.groups.clone());
                 if !fresh || server.warmed(now, self.rules.warm_within) < 1.0 {
                     server.trust = NEW_TRUST;
                 }
@@ -304,25 +299,37 @@
             let each = (self.site.proxies / self.site.pilots as f64).max(1.0);
             let lines = self.channel.lines_per_second * TABLE_TIME / each - self.channel.header_lines;
             let most = self.by_zone(|_| 1.0).into_iter().fold(0.0, f64::max);
-            let groups = (most / lines.max(LEAST_GROUP)).ceil().max(1.0);
-            self.tables = vec![Table::default(); zones * groups as usize];
+            let shared = (each / (TABLE_USERS * zones as f64)).floor();
+            let groups = (most / lines.max(LEAST_GROUP)).ceil().min(shared).max(1.0);
+            // Several pilots deal by chance and even out through servers that they share; one has nobody.
+            let alone = self.site.pilots == 1 && groups > 1.0 && groups * 2.0 <= shared;
+            self.seats = if alone { 2 } else { 1 };
+            self.tables = vec![Table::default(); zones * groups as usize * self.seats];
         }
         let groups = self.tables.len() / zones;
         let (mut sizes, mut rates) = (vec![vec![0.0; groups]; zones], vec![vec![0.0; groups]; zones]);
-        for server in self.servers.values().filter(|s| s.is_ready() && s.group < groups) {
-            sizes[server.zone][server.group] += server.size;
+        for server in self.servers.values().filter(|s| s.is_ready()) {
+            for group in server.groups.iter().filter(|group| **group < groups) {
+                sizes[server.zone][*group] += server.size;
+            }
         }
         for proxy in self.proxies.values().filter(|p| p.joined && p.group < groups) {
             rates[proxy.zone][proxy.group] += proxy.rate;
         }
         // What left or came back makes groups uneven: fuller ones give to the emptiest.
         for server in self.servers.values_mut().filter(|s| s.is_ready()) {
-            let (sizes, new) = (&mut sizes[server.zone], server.group >= groups);
-            let to = least(sizes, || self.chance.part());
-            if new || sizes[server.group] - sizes[to] > server.size * UNEVEN {
-                sizes[if new { to } else { server.group }] -= if new { 0.0 } else { server.size };
-                sizes[to] += server.size;
-                server.group = to;
+            let sizes = &mut sizes[server.zone];
+            server.groups.resize(self.seats, usize::MAX);
+            for seat in 0..self.seats {
+                let mut open = sizes.clone();
+                let held = server.groups.iter().filter(|group| **group < groups);
+                held.for_each(|group| open[*group] = f64::INFINITY);
+                let (from, to) = (server.groups[seat], least(&open, || self.chance.part()));
+                if from >= groups || sizes[from] - sizes[to] > server.size * UNEVEN {
+                    sizes[to] += server.size;
+                    sizes.get_mut(from).into_iter().for_each(|size| *size -= server.size);
+                    server.groups[seat] = to;
+                }
             }
         }
         for proxy in self.proxies.values_mut().filter(|p| p.joined && p.group >= groups) {
@@ -363,14 +370,8 @@
         self.times.first_heard.get_or_insert(now);
         self.times.heard_at = Some(now);
         for tries in all {
-            let Some(server) = self.servers.get_mut(&tries.server) else { continue };
-            let answers = (tries.tries - tries.failed).max(0.0);
-            server.tries.add(now, tries.tries);
-            server.failed.add(now, tries.failed);
-            if answers > 0.0 && tries.time > 0.0 {
-                server.answers.add(now, answers);
-                server.time.add(now, tries.time * answers);
-                server.answered_at = now;
+            if let Some(server) = self.servers.get_mut(&tries.server) {
+                server.count(tries, now);
             }
         }
     }
@@ -508,7 +509,7 @@
     /// The ready servers of a group; all of them where it has none that is warm.
     fn members(&self, group: usize, now: f64) -> Vec<(Address, &Server)> {
         let ready = self.servers.iter().filter(|(_, s)| s.is_ready()).map(|(address, s)| (*address, s));
-        let own: Vec<_> = ready.clone().filter(|(_, s)| s.group == group).collect();
+        let own: Vec<_> = ready.clone().filter(|(_, s)| s.groups.contains(&group)).collect();
         if own.iter().any(|(_, s)| !self.is_cold(s, now)) {
             return own;
         }
@@ -622,13 +623,11 @@
         let mode = if self.is_settled(now) && self.line.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
         let step = |level: f64| (level / LEVEL_STEP).round() * LEVEL_STEP;
         let here = self.proxies.values().filter(|p| p.joined && self.place(p) == place).count().max(1) as f64;
+        let held = seconds_held(DEMAND_SPAN, self.site.report_period, STALE);
         let levels = levels(self.line.part.min(placed), &benefit, &demand).into_iter().enumerate();
         let levels = levels.map(|(class, level)| match self.site.levels {
             Levels::Share => step(level),
-            Levels::Rate if level < 1.0 => (level * came(Some(place), class)
-                / seconds_held(DEMAND_SPAN, self.site.report_period, STALE)
-                / here)
-                .ceil(),
+            Levels::Rate if level < 1.0 => (level * came(Some(place), class) / held / here).ceil(),
             Levels::Rate => NO_LIMIT,
             Levels::Ignored => 1.0,
         });
--- a/src/round.rs
+++ b/src/round.rs
@@ -214,6 +214,12 @@
     pub wakes: Vec<u64>,
 }
 
+/// Modes of a further try. One after any failure could run an effect twice; it has no name here.
+pub const NO_RETRY: u8 = 0;
+pub const ONCE_UNRUN: u8 = 1;
+/// What a mark adds to each message, in lines.
+pub const MARK_LINES: f64 = 1.0;
+
 /// Where decisions go. Orders take effect in the order of the calls; what one
 /// round orders becomes one message for each proxy concerned.
 pub trait Writer {
@@ -221,7 +227,7 @@
     fn clear(&mut self, table: u16);
     fn bind(&mut self, proxy: u16, table: u16);
     fn withdraw(&mut self, server: Address, out: bool);
-    /// `classes` is a sum of 2^place; `tries` is the wire's retry mode.
+    /// `classes` is a sum of 2^place; `tries` is a mode of a further try.
     fn admit(&mut self, table: u16, classes: u16, level: f64, tries: u8);
     fn check_health(&mut self, server: Address);
     fn mark(&mut self, number: u64, everyone: bool);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,14 +1,14 @@
 //! What the decisions remember of servers, proxies and tables. Nothing here decides anything.
 
-use crate::round::{Address, Entry, Readiness, Receipt};
+use crate::round::{Address, Entry, ProxyQueries, Readiness, Receipt, Tries};
 use crate::sums::Fading;
 use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Debug)]
 pub struct Server {
     pub zone: usize,
-    /// The group it is dealt to; none yet where there is no such group.
-    pub group: usize,
+    /// The groups it is dealt to.
+    pub groups: Vec<usize>,
     pub readiness: Readiness,
     pub weight: f64,
     /// The largest weight it was listed with; some lists lower the weight of what is busy.
@@ -29,7 +29,7 @@
         let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
         Server {
             zone: usize::from(entry.zone),
-            group: usize::MAX,
+            groups: Vec::new(),
             readiness: entry.readiness,
             weight,
             size: weight,
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Counts what proxies met at it.
+    pub fn count(&mut self, tries: &Tries, now: f64) {
+        let answers = (tries.tries - tries.failed).max(0.0);
+        self.tries.add(now, tries.tries);
+        self.failed.add(now, tries.failed);
+        if answers > 0.0 && tries.time > 0.0 {
+            self.answers.add(now, answers);
+            self.time.add(now, tries.time * answers);
+            self.answered_at = now;
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         self.readiness == Readiness::Ready
     }
@@ -69,7 +81,7 @@
 #[derive(Clone, Debug)]
 pub struct Proxy {
     pub zone: usize,
-    /// As with servers.
+    /// The group it is dealt to; none yet where there is no such group.
     pub group: usize,
     pub joined: bool,
     pub bound: bool,
@@ -83,6 +95,15 @@
 }
 
 impl Proxy {
+    /// Counts queries that came to it, to fade over `span`.
+    pub fn count(&mut self, queries: &ProxyQueries, classes: usize, span: f64, now: f64) {
+        self.came.resize(classes, Fading::over(span));
+        self.since.get_or_insert(now - queries.span);
+        if let Some(came) = self.came.get_mut(usize::from(queries.class)) {
+            came.add(now, queries.came);
+        }
+    }
+
     pub fn note_sent(&mut self, now: f64, window: f64) {
         self.sent.retain(|at| now - at < window);
         self.sent.push_back(now);
