Drop settings and report fields that nobody reads

Load fields, crossing fee, try wait, drain grace, fall time, abandon time, repeats, writes, own zone and what reports say of load were read at start or on the way and used nowhere.

--- a/src/round.rs
+++ b/src/round.rs
@@ -19,24 +19,10 @@
     }
 }
 
-/// Whether a query may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
-    Safe,
-    /// Repeats are discarded, but only by some servers and for some time.
-    Keyed,
-    Never,
-}
-
 #[derive(Clone, Debug)]
 pub struct QueryClass {
     pub benefit: f64,
     pub due_time: f64,
-    pub abandon_time: f64,
-    pub repeats: Repeats,
-    pub writes: bool,
-    /// It may go only to servers of the proxy's own zone.
-    pub own_zone: bool,
 }
 
 /// How the proxies honour the share of a class that is let in.
@@ -48,14 +34,6 @@
     Ignored,
 }
 
-/// What a server's load report may hold, in the order the reports carry it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoadField {
-    InFlight,
-    Busy,
-    Other,
-}
-
 /// The deployment, as far as a pilot is told.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -68,13 +46,8 @@
     pub list_on_request: bool,
     pub probes: bool,
     pub levels: Levels,
-    pub load_fields: Vec<LoadField>,
     pub report_period: f64,
-    /// Points lost for each query that crosses zones once.
-    pub crossing_fee: f64,
     pub write_life: f64,
-    /// A try that may be repeated waits this many due times.
-    pub try_wait: f64,
 }
 
 /// The pilot's channel to its proxies.
@@ -93,12 +66,10 @@
 /// The figures of the rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
-    pub drain_grace: f64,
     pub ask_within: f64,
     pub cold_share: f64,
     pub warm_within: f64,
     pub fall_multiple: f64,
-    pub fall_after: f64,
     pub gone_does_not_bind: bool,
 }
 
@@ -150,8 +121,6 @@
     pub proxy: u16,
     pub class: u8,
     pub came: f64,
-    /// Let in, but never answered.
-    pub unanswered: f64,
     pub span: f64,
 }
 
@@ -165,23 +134,18 @@
     /// Mean time of the answered ones; 0 if there was none.
     pub time: f64,
     pub span: f64,
-    /// The last load report seen, values in the order of `Site::load_fields`.
-    pub load: Vec<f64>,
 }
 
 #[derive(Clone, Debug)]
 pub struct HealthAnswer {
     pub server: Address,
     pub fine: bool,
-    pub took: f64,
-    pub load: Vec<f64>,
 }
 
 #[derive(Clone, Debug)]
 pub struct Receipt {
     pub proxy: u16,
     pub number: u64,
-    pub took: f64,
 }
 
 /// The store places a slice in this pilot's charge, or takes it away.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -39,7 +39,7 @@
     for second in 1..=seconds {
         let mut round = at(100.0 + f64::from(second));
         for proxy in 0..2 {
-            round.queries.push(ProxyQueries { proxy, class: 0, came: 30.0, unanswered: 0.0, span: 1.0 });
+            round.queries.push(ProxyQueries { proxy, class: 0, came: 30.0, span: 1.0 });
         }
         round.tries = (0..6).map(|n| report(second, n, n % 2)).collect();
         round.tries.retain(|t| t.tries > 0.0);
@@ -86,7 +86,7 @@
     let mut round = at(5.0);
     round.streams = vec![Stream { proxy: 9, up: false, zone: 0, rate: 0.0 }];
     round.tries = vec![tries(77, 0, 0.0, 0.0, 0.0), tries(78, 0, 1.0, 5.0, 0.0)];
-    round.receipts = vec![Receipt { proxy: 3, number: 1, took: 0.1 }];
+    round.receipts = vec![Receipt { proxy: 3, number: 1 }];
     play.round(&round);
     assert!(play.book.tables.values().all(|t| t.is_empty()) && play.book.bound.is_empty());
     play.round(&open(6.0, vec![entry(1, 0, Readiness::Draining, 0.0)], vec![join(0, 0), join(0, 0)]));
@@ -100,7 +100,7 @@
     for second in 1..=24 {
         // Its proxy has had hardly any queries, so all of them would fit into its own zone.
         let mut round = at(100.0 + f64::from(second));
-        let query = |proxy, came| ProxyQueries { proxy, class: 0, came, unanswered: 0.0, span: 1.0 };
+        let query = |proxy, came| ProxyQueries { proxy, class: 0, came, span: 1.0 };
         round.queries = vec![query(0, 0.1), query(1, 30.0), query(2, 30.0)];
         round.tries = [1, 3, 5].iter().map(|n| tries(*n, 1, 20.0, 0.0, 0.2)).collect();
         if second == 22 {
@@ -195,7 +195,7 @@
             round.tries.push(tries(4, 0, 5.0, 5.0, 0.0));
         }
         for server in std::mem::take(&mut play.book.checked) {
-            round.health.push(HealthAnswer { server, fine: true, took: 0.01, load: vec![] });
+            round.health.push(HealthAnswer { server, fine: true });
         }
         play.round(&round);
         assert!(second != 7 || play.book.part(0, 4) > 0.1, "{:?}", play.book.tables);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -118,7 +118,7 @@
         Step::Reports { bad, how } => {
             for proxy in world.joined.keys() {
                 for class in 0..2 {
-                    let query = ProxyQueries { proxy: *proxy, class, came: 9.0, unanswered: 1.0, span: 1.0 };
+                    let query = ProxyQueries { proxy: *proxy, class, came: 9.0, span: 1.0 };
                     round.queries.push(query);
                 }
             }
@@ -190,12 +190,7 @@
             assert!(!table.contains_key(&address(*n)), "server {n} left and is still listed");
         }
     }
-    for (class, told) in classes().iter().zip([1, 2]) {
-        for ((_, bits), (_, mode)) in &book.levels {
-            let named = *bits == 0 || bits & told != 0;
-            assert!(!named || class.repeats == Repeats::Safe || *mode < 2, "an effect could repeat");
-        }
-    }
+    assert!(book.levels.values().all(|(_, mode)| *mode < 2), "an effect could repeat");
     assert!(book.waiting <= scale.lines, "{} lines wait", book.waiting);
     for times in book.messages.values().filter(|_| scale.most_messages > 0) {
         let recent = times.iter().filter(|at| now - **at < 10.0).count();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,24 +27,13 @@
         list_on_request: false,
         probes: false,
         levels: Levels::Share,
-        load_fields: vec![LoadField::InFlight],
         report_period: 1.0,
-        crossing_fee: 0.04,
         write_life: 4.0,
-        try_wait: 1.0,
     }
 }
 
 pub fn classes() -> Vec<QueryClass> {
-    let class = |benefit, repeats| QueryClass {
-        benefit,
-        due_time: 1.0,
-        abandon_time: 4.0,
-        repeats,
-        writes: repeats == Repeats::Never,
-        own_zone: false,
-    };
-    vec![class(1.0, Repeats::Safe), class(3.0, Repeats::Never)]
+    vec![QueryClass { benefit: 1.0, due_time: 1.0 }, QueryClass { benefit: 3.0, due_time: 1.0 }]
 }
 
 pub fn channel(most_messages: usize) -> Channel {
@@ -60,12 +49,10 @@
 
 pub fn rules() -> Rules {
     Rules {
-        drain_grace: 2.0,
         ask_within: 10.0,
         cold_share: 0.15,
         warm_within: 16.0,
         fall_multiple: 2.5,
-        fall_after: 2.0,
         gone_does_not_bind: false,
     }
 }
@@ -112,7 +99,7 @@
 }
 
 pub fn tries(n: u16, zone: u16, tries: f64, failed: f64, time: f64) -> Tries {
-    Tries { server: address(n), zone, tries, failed, time, span: 1.0, load: vec![1.0] }
+    Tries { server: address(n), zone, tries, failed, time, span: 1.0 }
 }
 
 /// What the proxies hold, and what the orders of each round cost.
@@ -152,7 +139,7 @@
                 break;
             }
             sent -= *lines;
-            round.receipts.extend(mark.map(|number| Receipt { proxy: *proxy, number, took: 0.3 }));
+            round.receipts.extend(mark.map(|number| Receipt { proxy: *proxy, number }));
             self.queue.pop_front();
         }
         for stream in &round.streams {
--- a/wirehost/src/conf.rs
+++ b/wirehost/src/conf.rs
@@ -1,7 +1,7 @@
 //! The settings an instance starts with, from the JSON text of its first event.
 
 use crate::{malformed, Malformed};
-use oatlever::round::{Channel, Levels, LoadField, QueryClass, Repeats, Rules, Site};
+use oatlever::round::{Channel, Levels, QueryClass, Rules, Site};
 use serde_json::Value;
 
 /// A value of the settings together with the path that led to it, for messages.
@@ -65,11 +65,6 @@
             .map(|(k, value)| Node { value, path: format!("{}[{k}]", node.path) })
             .collect())
     }
-    /// The flag at place `k` of a list of flags; false where there is none.
-    fn flag_at(&self, key: &str, k: usize) -> bool {
-        let list = self.value.get(key).and_then(Value::as_array);
-        list.and_then(|list| list.get(k)).and_then(Value::as_bool) == Some(true)
-    }
 }
 
 pub struct Start {
@@ -86,39 +81,16 @@
     };
     let root = Node { value: &value, path: String::new() };
     let info = root.get("family-info")?;
-    let (limits, fees) = (root.get("limits")?, root.get("fees")?);
+    let limits = root.get("limits")?;
     let rules = root.get("rules")?;
 
     let mut classes = Vec::new();
-    for (k, lane) in root.items("lanes")?.iter().enumerate() {
-        classes.push(QueryClass {
-            benefit: lane.num("worth")?,
-            due_time: lane.seconds("slo-ms")?,
-            abandon_time: lane.seconds("deadline-ms")?,
-            repeats: match lane.word("effect")? {
-                "pure" => Repeats::Safe,
-                "token" => Repeats::Keyed,
-                _ => Repeats::Never,
-            },
-            writes: info.flag_at("mutating", k),
-            own_zone: info.flag_at("zone-bound", k),
-        });
+    for lane in root.items("lanes")? {
+        classes.push(QueryClass { benefit: lane.num("worth")?, due_time: lane.seconds("slo-ms")? });
     }
     if classes.is_empty() || classes.len() > 16 {
         return root.get("lanes")?.wrong("a list of 1 to 16 classes");
     }
-    let mut load_fields = Vec::new();
-    if let Some(stats) = root.maybe("stats") {
-        if stats.maybe("fields").is_some() {
-            for field in stats.items("fields")? {
-                load_fields.push(match field.value.as_str() {
-                    Some("rif") => LoadField::InFlight,
-                    Some("busy") => LoadField::Busy,
-                    _ => LoadField::Other,
-                });
-            }
-        }
-    }
     let zones = root.items("zones")?.len();
     if zones == 0 {
         return root.get("zones")?.wrong("a list of at least one zone");
@@ -137,11 +109,8 @@
                 "rate" => Levels::Rate,
                 _ => Levels::Ignored,
             },
-            load_fields,
             report_period: info.seconds("period-ms")?,
-            crossing_fee: fees.num("cross-zone")?,
             write_life: info.seconds("write-life-ms")?,
-            try_wait: info.num("per-try")?,
         },
         classes,
         channel: Channel {
@@ -153,12 +122,10 @@
             longest_way: info.seconds("transit-max-ms")?,
         },
         rules: Rules {
-            drain_grace: rules.seconds("stop-sending-within-ms")?,
             ask_within: rules.seconds("ask-within-ms")?,
             cold_share: rules.num("start-capacity")?,
             warm_within: rules.seconds("warm-within-ms")?,
             fall_multiple: rules.num("fall-multiple")?,
-            fall_after: rules.seconds("overload-for-ms")?,
             gone_does_not_bind: rules.flag("only-draining-binds")?,
         },
     })
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -112,14 +112,6 @@
     pub fn address(self, at: usize) -> Address {
         Address { host: self.bytes(at), port: self.u16(at + 4) }
     }
-    /// A load report: a count, then four values of which so many hold.
-    pub fn load(self, at: usize) -> Result<Vec<f64>, Malformed> {
-        let many = usize::from(self.u8(at));
-        if many > 4 {
-            return malformed(format!("a load report of {many} values, at most 4 fit"));
-        }
-        Ok((0..many).map(|k| self.f32(at + 1 + 4 * k)).collect())
-    }
 }
 
 /// One reply in the making; as a `Writer` it turns orders into records.
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -126,26 +126,15 @@
                 failed: f64::from(at.u32(4)),
                 time: at.f64(10) / 1000.0,
                 span: at.f64(28) / 1000.0,
-                load: at.load(36)?,
             }),
             267 => round.queries.push(ProxyQueries {
                 proxy: at.u16(4),
                 class: at.u8(6),
                 came: f64::from(at.u32(7)),
-                unanswered: f64::from(at.u32(11)),
                 span: at.f64(15) / 1000.0,
             }),
-            268 => round.health.push(HealthAnswer {
-                server: at.address(14),
-                fine: at.u16(12) == 100,
-                took: at.f64(4) / 1000.0,
-                load: at.load(20)?,
-            }),
-            269 => round.receipts.push(Receipt {
-                proxy: at.u16(4),
-                number: at.u64(6),
-                took: at.f64(14) / 1000.0,
-            }),
+            268 => round.health.push(HealthAnswer { server: at.address(14), fine: at.u16(12) == 100 }),
+            269 => round.receipts.push(Receipt { proxy: at.u16(4), number: at.u64(6) }),
             _ => return malformed(format!("an event of unknown code {code}")),
         }
         Ok(())
