Let trust follow the root of speed where proxies pick the less loaded of two

Known at start from how proxies choose. Harm: what fails slowly, or for one class only, keeps more for longer.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 use crate::chance::Chance;
 use crate::round::{
     Address, Channel, Levels, List, ListNews, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
-    MARK_LINES, NO_RETRY, ONCE_UNRUN,
+    MARK_LINES, NO_LIMIT, NO_RETRY, ONCE_UNRUN,
 };
 use crate::state::{Change, Line, Proxy, Queue, Server, Table, Times};
 use crate::sums::{least, median, seconds_held};
@@ -41,6 +41,8 @@
 const CHECKED: f64 = 0.3;
 /// Part; a server quicker than its peers is trusted with no more than this: its times may be luck.
 const TOP_TRUST: f64 = 3.0;
+/// Power of speed that trust follows where proxies correct for it as well: half of the way each.
+const TWICE: f64 = 0.5;
 /// Answers; the peers' mean counts as so many of a server's own, against the noise of few.
 const PRIOR_ANSWERS: f64 = 4.0;
 /// Part; a share of failures this far above the peers' takes all trust.
@@ -99,8 +101,6 @@
 const LINE_LEAST: f64 = 0.5;
 /// Part; levels are sent in steps of this size.
 const LEVEL_STEP: f64 = 0.05;
-/// Queries a second at a proxy; more than any gets, where levels are rates and all are let in.
-const NO_LIMIT: f64 = 1e6;
 pub struct Balancer {
     site: Site,
     classes: Vec<QueryClass>,
@@ -291,8 +291,7 @@
     ///
     /// Guards against tables too long for the channel: a full one for each proxy of a large fleet takes
     /// seconds, and so does each change. Should help as well where servers accept few connections; could
-    /// harm where a group's few proxies or servers are unlike the others', so there are as few groups as
-    /// the channel allows, and one where the fleet is small.
+    /// harm where a group's few are unlike the others', so there are as few as the channel allows.
     fn deal(&mut self) {
         let zones = self.site.zones;
         if self.tables.iter().all(|t| t.lines.is_empty()) && !self.proxies.values().any(|p| p.bound) {
@@ -413,7 +412,11 @@
                 _ => 1.0,
             };
             let failing = (server.part_failed(now, PRIOR_ANSWERS) - usual_failed).max(0.0);
-            let due = speed.min(TOP_TRUST) * (1.0 - failing / FAILING).max(0.0);
+            // Guards against correcting twice: proxies that pick the less loaded of two leave slow servers
+            // by themselves. Should help in any jam there; a server that fails slowly keeps more for
+            // longer.
+            let power = if self.site.picks_of_two { TWICE } else { 1.0 };
+            let due = speed.min(TOP_TRUST).powf(power) * (1.0 - failing / FAILING).max(0.0);
             // Guards against a jam taken for a fault: what still answers at a good rate is full, not
             // broken, and taking all its part away pours it onto the next. Should help in any overload of a
             // zone or server; a server whose answers all come late keeps too much for a cycle or two.
@@ -613,8 +616,7 @@
     fn wanted_levels(&self, place: usize, placed: f64, now: f64) -> Vec<(f64, u8)> {
         let came = |place: Option<usize>, class: usize| -> f64 {
             let here = |p: &&Proxy| p.joined && place.is_none_or(|at| self.place(p) == at);
-            let proxies = self.proxies.values().filter(here);
-            proxies.filter_map(|p| p.came.get(class)).map(|c| c.read(now)).sum()
+            self.proxies.values().filter(here).filter_map(|p| p.came.get(class)).map(|c| c.read(now)).sum()
         };
         let demand: Vec<f64> = (0..self.classes.len()).map(|class| came(None, class)).collect();
         let benefit: Vec<f64> = self.classes.iter().map(|c| c.benefit).collect();
@@ -710,12 +712,10 @@
         changes
     }
 
-    /// Sends what fits of a table's changes to the proxies that use it.
-    ///
-    /// Guards against a channel too small for the fleet: all changes of a table together may never fit,
-    /// then none would ever go out. The largest go first and the rest in later cycles; what can't wait has
-    /// room of its own. Should help too while a channel is slow; what is left out makes a table differ from
-    /// what is wanted for some cycles.
+    /// Sends what fits of a table's changes to the proxies that use it. Guards against a channel too small
+    /// for the fleet: all changes of a table together may never fit, then none would ever go out. The
+    /// largest go first and the rest in later cycles; what can't wait has room of its own. Should help too
+    /// while a channel is slow; meanwhile tables differ from what is wanted.
     fn send_changes(
         &mut self,
         place: usize,
--- a/src/round.rs
+++ b/src/round.rs
@@ -46,6 +46,8 @@
     pub list_on_request: bool,
     pub probes: bool,
     pub levels: Levels,
+    /// A proxy draws two lines by weight and picks the one with fewer of its own queries out.
+    pub picks_of_two: bool,
     pub report_period: f64,
     pub write_life: f64,
 }
@@ -181,6 +183,8 @@
 /// Modes of a further try. One after any failure could run an effect twice; it has no name here.
 pub const NO_RETRY: u8 = 0;
 pub const ONCE_UNRUN: u8 = 1;
+/// Where levels are queries a second: more than any proxy gets.
+pub const NO_LIMIT: f64 = 1e6;
 /// What a mark adds to each message, in lines.
 pub const MARK_LINES: f64 = 1.0;
 
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -263,3 +263,19 @@
     play.round(&open(1.0, vec![entry(1, 0, Readiness::Ready, 0.0)], vec![join(0, 0)]));
     assert!(play.book.levels.values().all(|(level, _)| *level > 1000.0), "{:?}", play.book.levels);
 }
+
+#[test]
+fn speed_counts_half_where_proxies_correct_for_it_themselves() {
+    let part = |picks_of_two| {
+        let mut play = Play::new(Site { picks_of_two, ..site() }, rules(), channel(0));
+        play.round(&open(100.0, ready(4, 1), vec![join(0, 0)]));
+        for second in 1..=10 {
+            let mut round = at(100.0 + f64::from(second));
+            round.tries = (0..4).map(|n| tries(n, 0, if n == 1 { 1.0 } else { 10.0 }, 0.0, 0.2)).collect();
+            round.tries[1].time = 2.0;
+            play.round(&round);
+        }
+        play.book.part(0, 1)
+    };
+    assert!(part(true) > 1.5 * part(false) && part(true) < 0.2, "{} {}", part(false), part(true));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,6 +27,7 @@
         list_on_request: false,
         probes: false,
         levels: Levels::Share,
+        picks_of_two: false,
         report_period: 1.0,
         write_life: 4.0,
     }
--- a/wirehost/src/conf.rs
+++ b/wirehost/src/conf.rs
@@ -109,6 +109,7 @@
                 "rate" => Levels::Rate,
                 _ => Levels::Ignored,
             },
+            picks_of_two: info.word("choice")? == "two",
             report_period: info.seconds("period-ms")?,
             write_life: info.seconds("write-life-ms")?,
         },
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -32,7 +32,7 @@
 
 const CONF: &str = r#"{"family-info": {"bootstrap": 12, "egress-per-s": 8600.0, "head": 4.0,
     "level-kind": "share", "mutating": [false, true], "one-owner": false, "partitions-n": 0,
-    "data-plane-size": 9,
+    "data-plane-size": 9, "choice": "weighted",
     "per-try": 0.8, "period-ms": 1000.0, "queue-cap": 8600.0, "reloads-max": 0,
     "transit-max-ms": 545.0, "update-window-ms": 10000.0, "write-life-ms": 4020.0,
     "zone-bound": [false, false], "something-new": {"a": [1]}},
