Sum demand once a beat, refuse odd load reports again, and name a slice's line rightly

A load report of more than four values was named as malformed until its field was dropped as unread; the check is back, with a case in the tests. The demand by table was summed twice in the same beat. A slice's message counted the constant of marks for its one line: the same number, the wrong name. A loop over at most one size is an `if`.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -326,7 +326,9 @@
                 let (from, to) = (server.groups[seat], least(&open, || self.chance.part()));
                 if from >= groups || sizes[from] - sizes[to] > server.size * UNEVEN {
                     sizes[to] += server.size;
-                    sizes.get_mut(from).into_iter().for_each(|size| *size -= server.size);
+                    if let Some(left) = sizes.get_mut(from) {
+                        *left -= server.size;
+                    }
                     server.groups[seat] = to;
                 }
             }
@@ -413,8 +415,7 @@
             };
             let failing = (server.part_failed(now, PRIOR_ANSWERS) - usual_failed).max(0.0);
             // Guards against correcting twice: proxies that pick the less loaded of two leave slow servers
-            // by themselves. Should help in any jam there; a server that fails slowly keeps more for
-            // longer.
+            // by themselves. Should help in any jam there; a server that fails slowly keeps more.
             let power = if self.site.picks_of_two { TWICE } else { 1.0 };
             let due = speed.min(TOP_TRUST).powf(power) * (1.0 - failing / FAILING).max(0.0);
             // Guards against a jam taken for a fault: what still answers at a good rate is full, not
@@ -530,11 +531,11 @@
     }
 
     /// The lines of each table, and the part of its queries that may be let in on them.
-    fn wanted_lines(&self, now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
+    fn wanted_lines(&self, demand: &[f64], now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
         let zones = self.site.zones;
         let blind = self.times.heard_at.is_none_or(|at| now - at > STALE);
         let mut wanted = vec![BTreeMap::new(); self.tables.len()];
-        for (group, demand) in self.demand(false, now).chunks(zones).enumerate() {
+        for (group, demand) in demand.chunks(zones).enumerate() {
             // Capacity: servers times trust; a crowded zone counts less, none under the floor.
             let (mut parts, mut count, mut capacity) = (vec![0.0; zones], vec![0.0; zones], vec![0.0; zones]);
             let members = self.members(group, now);
@@ -586,9 +587,8 @@
         let demand = self.demand(true, now);
         let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let scale = all.max(self.line.met) / all;
-        let is_cold = |server: &Server| self.is_cold(server, now);
         let usual_size = median(self.servers.values().map(|s| s.size).collect()).unwrap_or(0.0);
-        for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready() && is_cold(s)) {
+        for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready() && self.is_cold(s, now)) {
             let sent =
                 wanted.iter().zip(&demand).map(|(lines, d)| lines.get(address).unwrap_or(&0.0) * d * scale);
             let kept = self.cold_limit(server, usual_size, now) / sent.sum::<f64>().max(f64::MIN_POSITIVE);
@@ -601,8 +601,9 @@
         let placed: Vec<f64> = wanted.iter().map(|lines| lines.values().sum()).collect();
         let mut certain = Vec::new();
         for (place, (lines, placed)) in wanted.iter_mut().zip(placed).enumerate() {
-            let warm = self.members(place / self.site.zones, now).into_iter().filter(|(_, s)| !is_cold(s));
-            let warm: Vec<_> = warm.map(|(address, s)| (address, s.weight * s.trust)).collect();
+            let own = self.members(place / self.site.zones, now);
+            let own = own.iter().filter(|(_, s)| !self.is_cold(s, now));
+            let warm: Vec<_> = own.map(|(address, s)| (*address, s.weight * s.trust)).collect();
             let all: f64 = warm.iter().map(|(_, part)| part).sum();
             certain.push(if warm.is_empty() { placed } else { 1.0 });
             for (address, part) in warm.into_iter().filter(|w| (1.0 - placed) * w.1 / all > LEAST_LINE) {
@@ -677,14 +678,14 @@
             for old in lines.extract_if(.., |a| !load.contains_key(a)) {
                 out.weigh(*slice, old, 0.0);
                 *left_at = now;
-                self.queue.spent += (self.channel.header_lines + MARK_LINES) * joined;
+                self.queue.spent += (self.channel.header_lines + 1.0) * joined;
             }
             let next = load.iter_mut().min_by_key(|(_, n)| **n).filter(|_| lines.is_empty());
             if let Some((next, n)) = next.filter(|_| now - *left_at >= settle) {
                 out.weigh(*slice, *next, 1.0);
                 lines.push(*next);
                 *n += 1;
-                self.queue.spent += (self.channel.header_lines + MARK_LINES) * joined;
+                self.queue.spent += (self.channel.header_lines + 1.0) * joined;
             }
         }
     }
@@ -759,8 +760,8 @@
     /// Changes of tables, in a cycle or where they can't wait, those that move most queries first; then the
     /// proxies that hold none yet.
     fn send_tables(&mut self, cycle: bool, now: f64, out: &mut dyn Writer) {
-        let wanted = self.wanted_lines(now);
         let demand = self.demand(false, now);
+        let wanted = self.wanted_lines(&demand, now);
         let mut tables: Vec<(bool, f64, usize, Vec<Change>)> = Vec::new();
         for (place, (lines, _)) in wanted.iter().enumerate() {
             let changes = self.changes(place, lines, now);
@@ -772,9 +773,8 @@
             let levels = self.wanted_levels(place, wanted[place].1, now);
             self.send_changes(place, changes, levels, now, out);
         }
-        let ids: Vec<u16> =
-            self.proxies.iter().filter(|(_, p)| p.joined && !p.bound).map(|(id, _)| *id).collect();
-        for id in ids {
+        let unbound = self.proxies.iter().filter(|(_, p)| p.joined && !p.bound).map(|(id, _)| *id);
+        for id in unbound.collect::<Vec<u16>>() {
             let proxy = &self.proxies[&id];
             let place = self.place(proxy);
             let table = &self.tables[place];
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -112,6 +112,13 @@
     pub fn address(self, at: usize) -> Address {
         Address { host: self.bytes(at), port: self.u16(at + 4) }
     }
+    /// A load report, which nobody reads yet: a count, then room for four values.
+    pub fn check_load(self, at: usize) -> Result<(), Malformed> {
+        match self.u8(at) {
+            0..=4 => Ok(()),
+            many => malformed(format!("a load report of {many} values, at most 4 fit")),
+        }
+    }
 }
 
 /// One reply in the making; as a `Writer` it turns orders into records.
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -119,21 +119,27 @@
                 seat.balancer = None;
                 seat.round = Round::default();
             }
-            266 => round.tries.push(Tries {
-                server: at.address(22),
-                zone: at.u16(8),
-                tries: f64::from(at.u32(18)),
-                failed: f64::from(at.u32(4)),
-                time: at.f64(10) / 1000.0,
-                span: at.f64(28) / 1000.0,
-            }),
+            266 => {
+                at.check_load(36)?;
+                round.tries.push(Tries {
+                    server: at.address(22),
+                    zone: at.u16(8),
+                    tries: f64::from(at.u32(18)),
+                    failed: f64::from(at.u32(4)),
+                    time: at.f64(10) / 1000.0,
+                    span: at.f64(28) / 1000.0,
+                });
+            }
             267 => round.queries.push(ProxyQueries {
                 proxy: at.u16(4),
                 class: at.u8(6),
                 came: f64::from(at.u32(7)),
                 span: at.f64(15) / 1000.0,
             }),
-            268 => round.health.push(HealthAnswer { server: at.address(14), fine: at.u16(12) == 100 }),
+            268 => {
+                at.check_load(20)?;
+                round.health.push(HealthAnswer { server: at.address(14), fine: at.u16(12) == 100 });
+            }
             269 => round.receipts.push(Receipt { proxy: at.u16(4), number: at.u64(6) }),
             _ => return malformed(format!("an event of unknown code {code}")),
         }
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -143,6 +143,7 @@
         (batch(&[bytes("02ff 0003")], &[]), "unknown code"),
         (batch(&[bytes("0100 0003 01 0000000000000029 00000000 00000001")], &[]), "outside a tail"),
         (batch(&[bytes("0100 0003 09 0000000000000029")], &[]), "unknown kind"),
+        (batch(&[[bytes("010a 0003"), vec![0; 32], vec![5]].concat()], &[]), "a load report of 5 values"),
         (batch(&[enlist(5, 0, 3)], b"{{{"), "not JSON"),
         (batch(&[enlist(5, 0, 2)], b"{}"), "`family-info` is missing"),
         settings("\"head\": 4.0", "\"head\": \"x\"", "`family-info.head` is not a number"),
