--- /dev/null
+++ b/askers/src/lib.rs
@@ -0,0 +1,13 @@
+//! Who asks, whether it is still there, how often it may ask, and whether its address is proven.
+//!
+//! No sockets and no clocks: addresses and times come in as arguments, times in seconds.
+
+mod cookies;
+mod limits;
+mod prefixes;
+mod presence;
+
+pub use cookies::{Cookies, Proof};
+pub use limits::{Allowance, Limits};
+pub use prefixes::Prefixes;
+pub use presence::Presence;
--- /dev/null
+++ b/pilot/src/main.rs
@@ -0,0 +1,90 @@
+//! `oatlever`: one pilot on sockets.
+
+mod core;
+mod logs;
+mod metrics;
+mod serve;
+mod status;
+mod wakes;
+
+use clap::{Parser, Subcommand};
+use oatlever_settings::Settings;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "oatlever", version, about = "Central planner behind a layer of plain proxies")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a pilot until SIGTERM or SIGINT.
+    Pilot {
+        /// Settings, as JSON.
+        settings: PathBuf,
+        /// How logs are written, to standard error.
+        #[arg(long, value_enum, default_value_t = logs::Form::Text)]
+        log: logs::Form,
+        /// What is logged, as `info` or `oatlever=debug`.
+        #[arg(long, default_value = "info")]
+        log_filter: String,
+        /// Start of all chance: the same seed draws alike.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Check settings and say what is wrong with them.
+    Check { settings: PathBuf },
+    /// Print the JSON Schema of the settings.
+    Schema,
+}
+
+/// Exit status where the settings or the command line are wrong.
+const WRONG: u8 = 2;
+
+fn read(path: &Path) -> Result<Settings, ExitCode> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        eprintln!("oatlever: {}: {e}", path.display());
+        ExitCode::from(WRONG)
+    })?;
+    oatlever_settings::read(&text).map_err(|mistakes| {
+        for mistake in mistakes {
+            eprintln!("oatlever: {}{mistake}", place(path));
+        }
+        ExitCode::from(WRONG)
+    })
+}
+
+fn place(path: &Path) -> String {
+    format!("{}: ", path.display())
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        Command::Schema => {
+            println!("{:#}", oatlever_settings::schema());
+            Ok(())
+        }
+        Command::Check { settings } => read(&settings).map(|s| {
+            println!(
+                "{} zones, {} classes, {} askers: settings are right",
+                s.zones.len(),
+                s.classes.len(),
+                s.askers.len()
+            );
+        }),
+        Command::Pilot { settings, log, log_filter, seed } => read(&settings).and_then(|settings| {
+            let told = |code: u8| {
+                move |e: String| {
+                    eprintln!("oatlever: {e}");
+                    ExitCode::from(code)
+                }
+            };
+            logs::start(log, &log_filter).map_err(told(WRONG))?;
+            serve::run(settings, seed.unwrap_or_else(|| fastrand::u64(..))).map_err(told(1))
+        }),
+    };
+    done.map_or_else(|code| code, |()| ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/pilot/src/serve.rs
@@ -0,0 +1,248 @@
+//! The sockets of a pilot and the loop that keeps its rounds.
+
+use crate::core::Core;
+use crate::status;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_lock::Semaphore;
+use async_signal::{Signal, Signals};
+use event_listener::Event;
+use futures_lite::{future, StreamExt};
+use oatlever_dns::{Front, Gate, Handler, TcpLimits, Via};
+use oatlever_fetch as fetch;
+use oatlever_reports::{Target, Text};
+use oatlever_roster::{Cache, Source};
+use oatlever_settings::Settings;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// s; at the end, answers under way get so long. Well under what service managers wait before they kill.
+const LAST_ANSWERS: f64 = 1.0;
+/// Health checks under way at once: a whole zone that returns is asked within a few of them.
+const CHECKS_AT_ONCE: usize = 64;
+
+/// A pilot, shared by the tasks of its one thread. No borrow is held across a wait.
+pub struct Pilot {
+    pub core: RefCell<Core>,
+    pub front: RefCell<Front>,
+    pub gate: Rc<Gate>,
+    /// Something came in that a round should take up.
+    news: Event,
+}
+
+impl Pilot {
+    fn step(&self) {
+        let mut core = self.core.borrow_mut();
+        let now = core.now();
+        core.step(now);
+    }
+
+    fn tell(&self) {
+        self.news.notify(usize::MAX);
+    }
+}
+
+impl Handler for Pilot {
+    fn answer(&self, packet: &[u8], source: SocketAddr, via: Via) -> Option<Vec<u8>> {
+        let mut core = self.core.borrow_mut();
+        let now = core.now();
+        let (rounds, mut front) = (core.counts.rounds, self.front.borrow_mut());
+        let answer = front.answer(&mut *core, packet, source, via, now);
+        if core.counts.rounds != rounds {
+            self.tell();
+        }
+        answer
+    }
+}
+
+/// Whose counters are read, and what becomes of a reading.
+struct ReportDesk(Rc<Pilot>);
+
+impl oatlever_reports::Desk for ReportDesk {
+    fn targets_version(&self) -> u64 {
+        self.0.core.borrow().targets_version
+    }
+
+    fn targets(&self) -> BTreeMap<Target, fetch::Place> {
+        let core = self.0.core.borrow();
+        let askers = core.settings.askers.iter().enumerate().filter_map(|(place, asker)| {
+            let place_to_read = asker.metrics.as_ref().and_then(|url| fetch::Place::parse(url))?;
+            Some((Target::Asker(place as u16), place_to_read))
+        });
+        let servers = core.book.members().iter().filter_map(|(server, member)| {
+            let host = SocketAddr::V4(member.metrics?);
+            Some((Target::Server(*server), fetch::Place { host, path: "/metrics".to_string() }))
+        });
+        askers.chain(servers).collect()
+    }
+
+    fn reading(&self, target: Target, asked: Instant, text: Result<Text, String>) {
+        let mut core = self.0.core.borrow_mut();
+        core.reading(target, asked, text);
+        if core.has_news() {
+            self.0.tell();
+        }
+    }
+}
+
+async fn rounds(pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
+    let checks = Rc::new(Semaphore::new(CHECKS_AT_ONCE));
+    loop {
+        let listener = pilot.news.listen();
+        pilot.step();
+        let to_check = std::mem::take(&mut pilot.core.borrow_mut().to_check);
+        for server in to_check {
+            executor.spawn(check(pilot.clone(), server, checks.clone())).detach();
+        }
+        let (next, now) = {
+            let core = pilot.core.borrow();
+            (core.next_at(), core.now())
+        };
+        let timer = async {
+            Timer::after(Duration::from_secs_f64((next - now).max(0.0))).await;
+        };
+        future::or(timer, listener).await;
+    }
+}
+
+async fn check(pilot: Rc<Pilot>, server: oatlever::round::Address, at_once: Rc<Semaphore>) {
+    let _turn = at_once.acquire().await;
+    let Some(checks) = pilot.core.borrow().settings.checks.clone() else { return };
+    let host = SocketAddr::from((server.host, server.port));
+    let place = fetch::Place { host, path: checks.path };
+    // The body says nothing that is used.
+    let got = fetch::get(&place, None, checks.patience, 1 << 16).await;
+    let mut core = pilot.core.borrow_mut();
+    core.counts.checks += 1;
+    core.checked(server, got.is_ok_and(|answer| answer.status == 200));
+    pilot.tell();
+}
+
+fn bound<T>(at: &str, host: SocketAddr, over: &str, made: io::Result<T>) -> Result<T, String> {
+    made.map_err(|e| format!("{at}: cannot listen on {host} over {over}: {e}"))
+}
+
+/// Runs until SIGTERM or SIGINT. Errors: what could not be started, or why it ended.
+pub fn run(settings: Settings, seed: u64) -> Result<(), String> {
+    let mut sockets = Vec::new();
+    for (n, host) in settings.dns.listen.iter().enumerate() {
+        let at = format!("/dns/listen/{n}");
+        let udp = bound(&at, *host, "UDP", UdpSocket::bind(host))?;
+        sockets.push((udp, bound(&at, *host, "TCP", TcpListener::bind(host))?));
+    }
+    let status = settings.status.listen;
+    let status = bound("/status/listen", status, "TCP", TcpListener::bind(status))?;
+    let source = Source::parse(&settings.roster.source).ok_or("/roster/source: no place to read")?;
+    let cache = settings.roster.cache.clone().map(|path| Cache(path.into()));
+
+    let mut core = Core::new(settings, seed);
+    let settings = core.settings.clone();
+    match cache.as_ref().map(Cache::load) {
+        None => {}
+        Some(Err(e)) => tracing::info!(%e, "no kept list of servers"),
+        Some(Ok(text)) => {
+            let now = core.now();
+            match core.restore(&text, now) {
+                Ok(()) => {
+                    tracing::info!(servers = core.book.members().len(), "kept list of servers taken up")
+                }
+                Err(what) => tracing::warn!(%what, "kept list of servers left aside"),
+            }
+        }
+    }
+    let front =
+        Front::new(&settings, core.prefixes.clone(), seed).map_err(|e| format!("/dns/origin: {e}"))?;
+    let limits = &settings.dns.limits;
+    let gate = Gate::new(TcpLimits {
+        connections: limits.connections,
+        connections_each: limits.connections_each,
+        idle: limits.idle,
+    });
+    let pilot = Rc::new(Pilot {
+        core: RefCell::new(core),
+        front: RefCell::new(front),
+        gate: gate.clone(),
+        news: Event::new(),
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    async_io::block_on(executor.run(async {
+        let mut tasks = vec![executor.spawn(rounds(pilot.clone(), executor.clone()))];
+        let (failed, failure) = (Rc::new(Event::new()), Rc::new(RefCell::new(None)));
+        let ended = |what: String, failed: Rc<Event>, failure: Rc<RefCell<Option<String>>>| {
+            move |e: io::Error| {
+                *failure.borrow_mut() = Some(format!("{what}: {e}"));
+                failed.notify(usize::MAX);
+            }
+        };
+        let broken = failed.listen();
+        for (udp, tcp) in sockets {
+            let host = udp.local_addr().map(|host| host.to_string()).unwrap_or_default();
+            tracing::info!(%host, "answering DNS");
+            let ended_udp = ended(format!("UDP at {host}"), failed.clone(), failure.clone());
+            let ended_tcp = ended(format!("TCP at {host}"), failed.clone(), failure.clone());
+            let udp = oatlever_dns::serve_udp(udp, pilot.clone());
+            tasks.push(executor.spawn(async move { udp.await.unwrap_or_else(ended_udp) }));
+            let tcp = oatlever_dns::serve_tcp(tcp, pilot.clone(), gate.clone(), executor.clone());
+            tasks.push(executor.spawn(async move { tcp.await.unwrap_or_else(ended_tcp) }));
+        }
+        let host = status.local_addr().map(|host| host.to_string()).unwrap_or_default();
+        tracing::info!(%host, "serving status");
+        let page = status::serve(status, pilot.clone(), executor.clone());
+        let ended_page = ended("status".to_string(), failed.clone(), failure.clone());
+        tasks.push(executor.spawn(async move { page.await.unwrap_or_else(ended_page) }));
+
+        let roster = &settings.roster;
+        let sink = {
+            let pilot = pilot.clone();
+            move |read| {
+                let mut core = pilot.core.borrow_mut();
+                let now = core.now();
+                let worth = core.roster(read, now);
+                if let Some(cache) = cache.as_ref().filter(|_| worth) {
+                    // A list that can't be kept is a trouble of the next start only.
+                    if let Err(e) = cache.save(&core.book.keep(now)) {
+                        tracing::warn!(path = %cache.0.display(), %e, "list of servers not kept");
+                    }
+                }
+                pilot.tell();
+            }
+        };
+        let times = (roster.period, roster.patience);
+        let zones = settings.zones.clone();
+        tasks.push(executor.spawn(oatlever_roster::run(source, zones, times, roster.most_bytes, sink)));
+        let reports = settings.reports.clone();
+        let desk = ReportDesk(pilot.clone());
+        tasks.push(executor.spawn(async move {
+            let limits = (reports.most_bytes, reports.at_once);
+            oatlever_reports::run(desk, reports.period, reports.patience, limits).await
+        }));
+
+        let signal = async {
+            signals.next().await;
+            tracing::info!("asked to end");
+            Ok(())
+        };
+        let broke = async {
+            broken.await;
+            Err(failure.borrow_mut().take().unwrap_or_default())
+        };
+        let end = future::or(signal, broke).await;
+        gate.close();
+        let until = Instant::now() + Duration::from_secs_f64(LAST_ANSWERS);
+        while gate.in_hand() > 0 && Instant::now() < until {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        drop(tasks);
+        end
+    }))
+}
+
+/// Keeps the reactor's type in view: listeners become asynchronous here and nowhere else in the pilot.
+pub fn listener(socket: TcpListener) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::try_from(socket)
+}
--- /dev/null
+++ b/pilot/src/status.rs
@@ -0,0 +1,148 @@
+//! The HTTP listener: `/metrics`, `/status` and `/changes`, to read only.
+
+use crate::metrics;
+use crate::serve::{listener, Pilot};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use oatlever_tables::Change;
+use serde_json::{json, Value};
+use smol_hyper::rt::FuturesIo;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections at once; pages are for people and collectors, a few of each.
+const CONNECTIONS: usize = 64;
+/// s; a connection lives no longer.
+const LIFE: f64 = 10.0;
+/// Changes on a page where none other number is asked for.
+const CHANGES: usize = 100;
+
+pub async fn serve(
+    socket: TcpListener,
+    pilot: Rc<Pilot>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
+    let socket = listener(socket)?;
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = socket.accept().await else {
+            Timer::after(Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= CONNECTIONS {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (pilot, open) = (pilot.clone(), open.clone());
+        let talk = async move {
+            let service = service_fn(|request| {
+                let response = page(&pilot, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = async {
+                let io = FuturesIo::new(stream);
+                // However it ends, only this reader is concerned.
+                let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
+            };
+            let late = async {
+                Timer::after(Duration::from_secs_f64(LIFE)).await;
+            };
+            futures_lite::future::or(served, late).await;
+            open.set(open.get() - 1);
+        };
+        executor.spawn(talk).detach();
+    }
+}
+
+fn page(pilot: &Pilot, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, kind, text) = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/metrics") => match metrics::text(pilot) {
+            Ok(text) => (StatusCode::OK, "application/openmetrics-text; version=1.0.0; charset=utf-8", text),
+            Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, "text/plain", e.to_string()),
+        },
+        (&Method::GET, "/status") => (StatusCode::OK, "application/json", status(pilot).to_string()),
+        (&Method::GET, "/changes") => match changes(pilot, request.uri().query().unwrap_or("")) {
+            Ok(value) => (StatusCode::OK, "application/json", value.to_string()),
+            Err(what) => (StatusCode::BAD_REQUEST, "text/plain", what),
+        },
+        (&Method::GET, _) => (StatusCode::NOT_FOUND, "text/plain", "/metrics, /status, /changes\n".into()),
+        _ => (StatusCode::METHOD_NOT_ALLOWED, "text/plain", "GET only\n".into()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
+    response
+}
+
+fn status(pilot: &Pilot) -> Value {
+    let core = pilot.core.borrow();
+    let now = core.now();
+    let tables = core.tables.all().map(|(table, version, index, users)| {
+        let lines = index.lines().iter().map(|line| (line.server.to_string(), json!(line.weight)));
+        json!({"table": table, "version": version, "users": users,
+               "lines": lines.collect::<serde_json::Map<_, _>>()})
+    });
+    let askers = core.settings.askers.iter().enumerate().map(|(place, asker)| {
+        let place = place as u16;
+        let held = core.tables.held(place, 0);
+        json!({"name": asker.name, "zone": asker.zone, "up": core.presence.is_up(place),
+               "table": held.map(|view| view.table)})
+    });
+    let servers = core.book.members().iter().map(|(server, member)| {
+        let age = (member.started > 0.0).then_some(now - member.started);
+        json!({"server": server.to_string(), "zone": core.settings.zones[usize::from(member.zone)],
+               "readiness": format!("{:?}", member.readiness).to_lowercase(), "weight": member.weight,
+               "age": age, "in_flight": core.sums.in_flight.get(server)})
+    });
+    json!({
+        "now": now,
+        "rounds": core.counts.rounds,
+        "version": core.tables.version(),
+        "list": {"age": core.list_heard.map(|at| now - at), "trouble": core.list_trouble},
+        "channel": {"waiting": core.tables.pull.waiting(), "most": core.tables.pull.most},
+        "tables": tables.collect::<Vec<_>>(),
+        "askers": askers.collect::<Vec<_>>(),
+        "servers": servers.collect::<Vec<_>>(),
+    })
+}
+
+/// The last changes, newest first; `server=`, `table=` and `most=` narrow them down.
+fn changes(pilot: &Pilot, query: &str) -> Result<Value, String> {
+    let (mut server, mut table, mut most) = (None, None, CHANGES);
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        let wrong = |expected: &str| format!("{pair:?}: expected {expected}\n");
+        match pair.split_once('=') {
+            Some(("server", value)) => server = Some(value.to_string()),
+            Some(("table", value)) => {
+                table = Some(value.parse::<u16>().map_err(|_| wrong("a table's number"))?)
+            }
+            Some(("most", value)) => most = value.parse().map_err(|_| wrong("a number"))?,
+            _ => return Err(wrong("server=, table= or most=")),
+        }
+    }
+    let core = pilot.core.borrow();
+    let now = core.now();
+    let named = |change: &&Change| {
+        let has = |name: &String| change.lines.iter().any(|(line, _, _)| line.to_string() == *name);
+        table.is_none_or(|table| change.table == table) && server.as_ref().is_none_or(has)
+    };
+    let told = core.tables.history.newest().filter(named).take(most).map(|change| {
+        let lines = change.lines.iter().map(|(line, from, to)| (line.to_string(), json!([from, to])));
+        let levels = change.levels.iter().map(|(class, (level, tries))| {
+            json!({"class": core.settings.classes[usize::from(*class)].name, "level": level, "tries": tries})
+        });
+        let news = change.news.kinds().map(|(kind, count)| (kind.to_string(), json!(count)));
+        json!({"version": change.version, "ago": now - change.at, "round": change.round,
+               "news": news.collect::<serde_json::Map<_, _>>(), "table": change.table,
+               "lines": lines.collect::<serde_json::Map<_, _>>(), "levels": levels.collect::<Vec<_>>()})
+    });
+    Ok(json!(told.collect::<Vec<_>>()))
+}
--- /dev/null
+++ b/roster/src/book.rs
@@ -0,0 +1,178 @@
+//! Who is listed, and since when each server runs, on the pilot's own clock.
+//!
+//! Documents state starts in wall time, which may step. Nothing here goes by the pilot's wall clock: a
+//! start is placed once, by its age on the clock of whoever wrote the document, and kept as long as its
+//! label stays the same.
+
+use crate::document::{Document, Listed, Readable};
+use oatlever::round::{Address, Entry, List, ListNews, Readiness};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// A server that some list named.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub zone: u16,
+    pub kind: u8,
+    pub readiness: Readiness,
+    pub weight: f64,
+    /// Its label, as written.
+    label: Option<f64>,
+    /// s, on the pilot's clock; 0 means long ago.
+    pub started: f64,
+    pub metrics: Option<SocketAddrV4>,
+    /// When a list last named it.
+    seen: f64,
+}
+
+impl Member {
+    /// All that a list says of it.
+    fn facts(&self) -> (u16, u8, Readiness, u64, u64, Option<SocketAddrV4>) {
+        (self.zone, self.kind, self.readiness, self.weight.to_bits(), self.started.to_bits(), self.metrics)
+    }
+}
+
+/// What a document means.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    pub list: List,
+    /// It says something else than was known.
+    pub changed: bool,
+}
+
+/// A member as it is kept for the next start: its age instead of a time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Kept {
+    server: String,
+    zone: u16,
+    kind: u8,
+    draining: bool,
+    weight: f64,
+    label: Option<f64>,
+    /// s since its start when it was written; none means long ago.
+    age: Option<f64>,
+    metrics: Option<SocketAddrV4>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    members: BTreeMap<Address, Member>,
+    kinds: Vec<String>,
+}
+
+impl Book {
+    /// Takes in a document and tells what it means. `clock` is the writer's Unix time, s, as it sent the
+    /// document; `now` the pilot's. A document that could not be read whole drops nobody.
+    pub fn take(&mut self, document: &Document, now: f64, clock: Option<f64>) -> Taken {
+        let (mut changed, before) = (false, self.members.len());
+        for listed in &document.servers {
+            let started = self.start_of(listed, now, clock);
+            let kind = self.kind_of(&listed.kind);
+            let member = Member {
+                zone: listed.zone,
+                kind,
+                readiness: listed.readiness,
+                weight: listed.weight,
+                label: listed.started.or_else(|| self.members.get(&listed.server).and_then(|m| m.label)),
+                started,
+                metrics: listed.metrics,
+                seen: now,
+            };
+            let fresh = member.facts();
+            changed |= self.members.insert(listed.server, member).is_none_or(|old| old.facts() != fresh);
+        }
+        let with_new = self.members.len();
+        let named = |server: &Address| document.servers.binary_search_by(|l| l.server.cmp(server)).is_ok();
+        match &document.readable {
+            Readable::InPart => {}
+            Readable::Whole => self.members.retain(|server, _| named(server)),
+            Readable::ButFor(odd) => self.members.retain(|server, _| named(server) || odd.contains(server)),
+        }
+        let news = if document.readable == Readable::InPart { ListNews::Changes } else { ListNews::Full };
+        changed |= self.members.len() != with_new || with_new != before;
+        Taken { list: List { news, entries: self.entries() }, changed }
+    }
+
+    /// A start that was told for the first time is placed by its age; one that changed lies between the
+    /// last list that told the old one and now. Without a clock to go by, what is new is as cold as can be.
+    fn start_of(&self, listed: &Listed, now: f64, clock: Option<f64>) -> f64 {
+        let known = self.members.get(&listed.server);
+        let Some(label) = listed.started else { return known.map_or(0.0, |m| m.started) };
+        if let Some(same) = known.filter(|m| m.label == Some(label)) {
+            return same.started;
+        }
+        let age = clock.map_or(0.0, |clock| (clock - label).max(0.0));
+        let least = known.map_or(0.0, |m| m.seen);
+        (now - age).max(least)
+    }
+
+    fn kind_of(&mut self, kind: &str) -> u8 {
+        let place = self.kinds.iter().position(|known| known == kind);
+        let place = place.unwrap_or_else(|| {
+            if self.kinds.len() < usize::from(u8::MAX) {
+                self.kinds.push(kind.to_string());
+            }
+            self.kinds.len() - 1
+        });
+        place as u8
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        let entry = |(server, m): (&Address, &Member)| Entry {
+            server: *server,
+            zone: m.zone,
+            kind: m.kind,
+            readiness: m.readiness,
+            weight: m.weight,
+            started: m.started,
+        };
+        self.members.iter().map(entry).collect()
+    }
+
+    pub fn members(&self) -> &BTreeMap<Address, Member> {
+        &self.members
+    }
+
+    /// The list as text for the next start.
+    pub fn keep(&self, now: f64) -> String {
+        let kept = |(server, m): (&Address, &Member)| Kept {
+            server: server.to_string(),
+            zone: m.zone,
+            kind: m.kind,
+            draining: m.readiness == Readiness::Draining,
+            weight: m.weight,
+            label: m.label,
+            age: (m.started > 0.0).then_some(now - m.started),
+            metrics: m.metrics,
+        };
+        let open = self.members.iter().filter(|(_, m)| m.readiness != Readiness::Gone);
+        serde_json::to_string(&open.map(kept).collect::<Vec<_>>()).unwrap_or_default()
+    }
+
+    /// Starts from a kept list. How long the pilot was away is not known, so each server is as young as it
+    /// was when the list was kept. Errors: it is no such list.
+    pub fn restore(&mut self, text: &str, zones: usize, now: f64) -> Result<List, String> {
+        let kept: Vec<Kept> = serde_json::from_str(text).map_err(|e| format!("not a kept list: {e}"))?;
+        let mut members = BTreeMap::new();
+        for k in kept {
+            let host: SocketAddrV4 = k.server.parse().map_err(|_| format!("{:?} is no server", k.server))?;
+            if usize::from(k.zone) >= zones {
+                return Err(format!("{} is in zone {}, of {zones}", k.server, k.zone));
+            }
+            let member = Member {
+                zone: k.zone,
+                kind: k.kind,
+                readiness: if k.draining { Readiness::Draining } else { Readiness::Ready },
+                weight: if k.weight > 0.0 && k.weight.is_finite() { k.weight } else { 1.0 },
+                label: k.label,
+                started: k.age.map_or(0.0, |age| (now - age.max(0.0)).max(0.0)),
+                metrics: k.metrics,
+                seen: now,
+            };
+            members.insert(Address { host: host.ip().octets(), port: host.port() }, member);
+        }
+        self.members = members;
+        Ok(List { news: ListNews::Cached, entries: self.entries() })
+    }
+}
--- /dev/null
+++ b/roster/src/document.rs
@@ -0,0 +1,118 @@
+//! One document: `[{"targets": ["host:port"], "labels": {...}}]`, as Prometheus' HTTP and file service
+//! discovery publish it. Labels understood: `zone` (needed), `kind`, `weight`, `state` (`ready`,
+//! `draining`, `gone`), `started` (Unix time, s), `metrics` (host:port of its counters).
+
+use oatlever::round::{Address, Readiness};
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+#[derive(Deserialize)]
+struct Group {
+    targets: Vec<String>,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+}
+
+/// A server as a document names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub server: Address,
+    pub zone: u16,
+    pub kind: String,
+    pub readiness: Readiness,
+    pub weight: f64,
+    /// Unix time, s, on the clock of whoever wrote the document.
+    pub started: Option<f64>,
+    pub metrics: Option<SocketAddrV4>,
+}
+
+/// How much of a document could be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Readable {
+    Whole,
+    /// These servers are named, with labels that make no sense: they are to stay what they were.
+    ButFor(BTreeSet<Address>),
+    /// Some targets can't even be told: nobody may be dropped by this document.
+    InPart,
+}
+
+#[derive(Clone, Debug)]
+pub struct Document {
+    pub servers: Vec<Listed>,
+    pub readable: Readable,
+    /// What is wrong and where, in words.
+    pub mistakes: Vec<String>,
+}
+
+fn entry(group: &Group, server: Address, zones: &[String]) -> Result<Listed, String> {
+    let label = |name: &str| group.labels.get(name).map(String::as_str);
+    let number = |name: &str| match label(name) {
+        None => Ok(None),
+        Some(text) => match text.parse::<f64>() {
+            Ok(x) if x.is_finite() && x >= 0.0 => Ok(Some(x)),
+            _ => Err(format!("label {name} is {text:?}, not a number of 0 or more")),
+        },
+    };
+    let zone = label("zone").ok_or("label zone is missing")?;
+    let place = zones.iter().position(|known| known == zone);
+    let readiness = match label("state").unwrap_or("ready") {
+        "ready" => Readiness::Ready,
+        "draining" => Readiness::Draining,
+        "gone" => Readiness::Gone,
+        other => return Err(format!("label state is {other:?}, not ready, draining or gone")),
+    };
+    let metrics = match label("metrics") {
+        None => None,
+        Some(text) => Some(text.parse().map_err(|_| format!("label metrics is {text:?}, not address:port"))?),
+    };
+    Ok(Listed {
+        server,
+        zone: place.ok_or_else(|| format!("label zone is {zone:?}, not a zone of the settings"))? as u16,
+        kind: label("kind").unwrap_or("").to_string(),
+        readiness,
+        weight: number("weight")?.filter(|weight| *weight > 0.0).unwrap_or(1.0),
+        started: number("started")?.filter(|started| *started > 0.0),
+        metrics,
+    })
+}
+
+impl Document {
+    /// Reads a document. Errors: it is none, or was cut off.
+    pub fn read(bytes: &[u8], zones: &[String]) -> Result<Document, String> {
+        let groups: Vec<Group> = serde_json::from_slice(bytes).map_err(|e| format!("not a list: {e}"))?;
+        let mut found: BTreeMap<Address, Listed> = BTreeMap::new();
+        let (mut odd, mut lost, mut mistakes) = (BTreeSet::new(), false, Vec::new());
+        for (n, group) in groups.iter().enumerate() {
+            for (k, target) in group.targets.iter().enumerate() {
+                let at = format!("/{n}/targets/{k}");
+                let Ok(host) = target.parse::<SocketAddrV4>() else {
+                    mistakes.push(format!("{at}: {target:?} is not an IPv4 address:port"));
+                    lost = true;
+                    continue;
+                };
+                let server = Address { host: host.ip().octets(), port: host.port() };
+                match entry(group, server, zones) {
+                    Err(what) => {
+                        mistakes.push(format!("{at}: {target}: {what}"));
+                        odd.insert(server);
+                    }
+                    Ok(listed) => match found.get(&server) {
+                        Some(other) if *other != listed => {
+                            mistakes.push(format!("{at}: {target} is listed twice, differently"));
+                            odd.insert(server);
+                        }
+                        _ => drop(found.insert(server, listed)),
+                    },
+                }
+            }
+        }
+        found.retain(|server, _| !odd.contains(server));
+        let readable = match () {
+            () if lost => Readable::InPart,
+            () if !odd.is_empty() => Readable::ButFor(odd),
+            () => Readable::Whole,
+        };
+        Ok(Document { servers: found.into_values().collect(), readable, mistakes })
+    }
+}
--- /dev/null
+++ b/roster/src/lib.rs
@@ -0,0 +1,12 @@
+//! The list of servers, from documents of the Prometheus service discovery format.
+//!
+//! `document` reads one document, `book` knows who is listed and turns documents into list news,
+//! `reader` fetches them and keeps the last good list in a file.
+
+mod book;
+mod document;
+mod reader;
+
+pub use book::{Book, Member, Taken};
+pub use document::{Document, Listed, Readable};
+pub use reader::{run, Cache, Source};
--- /dev/null
+++ b/settings/src/checks.rs
@@ -0,0 +1,154 @@
+//! Checks of the parts of the settings against each other.
+
+use crate::{Mistake, Settings};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+/// s; the pilot's clock starts this high, so that what started before it has a positive time.
+pub const CLOCK_START: f64 = 100_000.0;
+
+fn wrong(at: String, found: impl ToString, expected: impl ToString) -> Mistake {
+    Mistake { at, found: found.to_string(), expected: expected.to_string() }
+}
+
+/// An IPv4 prefix as address and bits. Errors: what a prefix looks like.
+pub fn prefix(text: &str) -> Result<(Ipv4Addr, u8), &'static str> {
+    let expected = "an IPv4 prefix with no bits past its length, as 10.1.0.0/16";
+    let (host, bits) = text.split_once('/').ok_or(expected)?;
+    let host: Ipv4Addr = host.parse().map_err(|_| expected)?;
+    let bits: u8 = bits.parse().ok().filter(|bits| *bits <= 32).ok_or(expected)?;
+    let mask = u32::MAX.checked_shl(32 - u32::from(bits)).unwrap_or(0);
+    if u32::from(host) & !mask != 0 {
+        return Err(expected);
+    }
+    Ok((host, bits))
+}
+
+fn is_label(text: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
+    !text.is_empty()
+        && text.len() <= 62
+        && text.chars().all(plain)
+        && !text.starts_with('-')
+        && !text.ends_with('-')
+}
+
+fn labels_once<'a>(at: &str, names: impl Iterator<Item = &'a str>, out: &mut Vec<Mistake>, field: &str) {
+    let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+    for (place, name) in names.enumerate() {
+        let at = format!("{at}/{place}{field}");
+        if !is_label(name) {
+            out.push(wrong(at.clone(), format!("{name:?}"), "a DNS label of letters, digits and hyphens"));
+        }
+        if let Some(first) = seen.insert(name.to_ascii_lowercase(), place) {
+            out.push(wrong(at, format!("{name:?}"), format!("a name of its own; {first} has the same")));
+        }
+    }
+}
+
+fn is_http(text: &str) -> bool {
+    text.strip_prefix("http://").is_some_and(|rest| {
+        let host = rest.split('/').next().unwrap_or("");
+        host.parse::<std::net::SocketAddr>().is_ok()
+    })
+}
+
+pub fn across(s: &Settings) -> Vec<Mistake> {
+    let mut out = Vec::new();
+    labels_once("/zones", s.zones.iter().map(String::as_str), &mut out, "");
+    labels_once("/classes", s.classes.iter().map(|c| c.name.as_str()), &mut out, "/name");
+    if s.dns.origin.is_empty() || s.dns.origin.len() > 150 || !s.dns.origin.split('.').all(is_label) {
+        out.push(wrong(
+            "/dns/origin".into(),
+            format!("{:?}", s.dns.origin),
+            "a domain name of up to 150 bytes",
+        ));
+    }
+
+    // An answer that a resolver holds is a line in a table: what it holds must run out in time.
+    let hold = s.longest_hold();
+    let sum = format!("lifetime {} + overstay {} = {hold} s", s.dns.lifetime, s.dns.overstay);
+    if hold >= s.rules.drain_grace {
+        let most = format!(
+            "less than /rules/drain_grace, {} s: what is held must run out in it",
+            s.rules.drain_grace
+        );
+        out.push(wrong("/dns/lifetime".into(), &sum, most));
+    }
+    // A server that left is still in answers; who holds only such has none until they run out.
+    if hold >= s.rules.without_server {
+        let most = format!("less than /rules/without_server, {} s", s.rules.without_server);
+        out.push(wrong("/dns/lifetime".into(), &sum, most));
+    }
+    if s.rules.warm_within >= CLOCK_START {
+        out.push(wrong(
+            "/rules/warm_within".into(),
+            s.rules.warm_within,
+            format!("less than {CLOCK_START} s"),
+        ));
+    }
+    for (at, patience, period) in [
+        ("/roster/patience", s.roster.patience, s.roster.period),
+        ("/reports/patience", s.reports.patience, s.reports.period),
+    ] {
+        if patience > period {
+            out.push(wrong(at.into(), patience, format!("no more than the period, {period} s")));
+        }
+    }
+    if s.status.away_after < 2.0 * s.reports.period {
+        let least = format!("two report periods or more, {} s", 2.0 * s.reports.period);
+        out.push(wrong("/status/away_after".into(), s.status.away_after, least));
+    }
+    if !is_http(&s.roster.source) && !s.roster.source.starts_with("file:///") {
+        out.push(wrong(
+            "/roster/source".into(),
+            format!("{:?}", s.roster.source),
+            "http://address:port/path or file:///path",
+        ));
+    }
+    if let Some(checks) = s.checks.as_ref().filter(|c| !c.path.starts_with('/')) {
+        out.push(wrong("/checks/path".into(), format!("{:?}", checks.path), "a path that starts with /"));
+    }
+
+    let mut prefixes: BTreeMap<String, usize> = BTreeMap::new();
+    let mut rest: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut names: BTreeMap<&str, usize> = BTreeMap::new();
+    for (place, asker) in s.askers.iter().enumerate() {
+        let at = format!("/askers/{place}");
+        if let Some(first) = names.insert(&asker.name, place) {
+            let own = format!("a name of its own; asker {first} has the same");
+            out.push(wrong(format!("{at}/name"), format!("{:?}", asker.name), own));
+        }
+        if s.zone(&asker.zone).is_none() {
+            let zones = format!("one of /zones: {}", s.zones.join(", "));
+            out.push(wrong(format!("{at}/zone"), format!("{:?}", asker.zone), zones));
+        }
+        for (n, text) in asker.prefixes.iter().enumerate() {
+            let at = format!("{at}/prefixes/{n}");
+            if let Err(expected) = prefix(text) {
+                out.push(wrong(at, format!("{text:?}"), expected));
+            } else if let Some(first) = prefixes.insert(text.clone(), place) {
+                out.push(wrong(
+                    at,
+                    format!("{text:?}"),
+                    format!("a prefix that asker {first} does not have"),
+                ));
+            }
+        }
+        if asker.prefixes.is_empty() {
+            if let Some(first) = rest.insert(&asker.zone, place) {
+                let expected = format!("one asker without prefixes in a zone; asker {first} is one");
+                out.push(wrong(format!("{at}/prefixes"), "none", expected));
+            }
+        }
+        if let Some(url) = asker.metrics.as_ref().filter(|url| !is_http(url)) {
+            out.push(wrong(format!("{at}/metrics"), format!("{url:?}"), "http://address:port/path"));
+        }
+    }
+    for (n, text) in s.dns.trusted_resolvers.iter().enumerate() {
+        if let Err(expected) = prefix(text) {
+            out.push(wrong(format!("/dns/trusted_resolvers/{n}"), format!("{text:?}"), expected));
+        }
+    }
+    out
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,129 @@
+//! Settings of a pilot: what they are, where they are wrong, and what the decisions are told of them.
+//!
+//! The shape is checked against the published schema, then the parts against each other. All
+//! mistakes are told at once, each with the JSON pointer to its place. Times are seconds.
+
+pub mod checks;
+mod shape;
+
+pub use shape::*;
+
+use oatlever::round;
+use std::fmt;
+
+/// Something wrong in the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistake {
+    /// JSON pointer (RFC 6901) to the place; empty for the whole text.
+    pub at: String,
+    pub found: String,
+    pub expected: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let at = if self.at.is_empty() { "(whole text)" } else { &self.at };
+        write!(f, "{at}: found {}; expected {}", self.found, self.expected)
+    }
+}
+
+/// The JSON Schema (2020-12) that settings keep.
+pub fn schema() -> serde_json::Value {
+    schemars::schema_for!(Settings).to_value()
+}
+
+/// Longest value quoted in a message, in characters.
+const QUOTED: usize = 80;
+
+fn quote(value: &serde_json::Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(QUOTED) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text,
+    }
+}
+
+/// Reads settings. Errors: every mistake found, in order of place.
+pub fn read(text: &str) -> Result<Settings, Vec<Mistake>> {
+    let whole = |found: String, expected: &str| {
+        vec![Mistake { at: String::new(), found, expected: expected.to_string() }]
+    };
+    let value: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| whole(e.to_string(), "a JSON text"))?;
+    let validator = jsonschema::validator_for(&schema())
+        .map_err(|e| whole(e.to_string(), "a schema that can be used"))?;
+    let mut mistakes: Vec<Mistake> = validator
+        .iter_errors(&value)
+        .map(|error| Mistake {
+            at: error.instance_path().to_string(),
+            found: quote(error.instance()),
+            expected: error.masked().to_string(),
+        })
+        .collect();
+    if mistakes.is_empty() {
+        let settings: Settings =
+            serde_json::from_value(value).map_err(|e| whole(e.to_string(), "settings as the schema says"))?;
+        mistakes = checks::across(&settings);
+        if mistakes.is_empty() {
+            return Ok(settings);
+        }
+    }
+    mistakes.sort_by(|a, b| a.at.cmp(&b.at));
+    Err(mistakes)
+}
+
+impl Settings {
+    pub fn zone(&self, name: &str) -> Option<u16> {
+        self.zones.iter().position(|zone| zone == name).map(|place| place as u16)
+    }
+
+    /// Seconds from an order until no asker that keeps the stated lifetime holds what was before.
+    pub fn longest_hold(&self) -> f64 {
+        f64::from(self.dns.lifetime) + self.dns.overstay
+    }
+
+    /// The deployment, as the decisions are told of it. Levels are not honoured by those who ask by DNS,
+    /// so they are stated as ignored.
+    pub fn site(&self) -> round::Site {
+        round::Site {
+            zones: self.zones.len(),
+            pilots: 1,
+            proxies: self.askers.len() as f64,
+            slices: 0,
+            one_owner: false,
+            list_on_request: false,
+            probes: self.checks.is_some(),
+            levels: round::Levels::Ignored,
+            picks_of_two: false,
+            report_period: self.reports.period,
+            write_life: 0.0,
+        }
+    }
+
+    pub fn query_classes(&self) -> Vec<round::QueryClass> {
+        let class = |c: &Class| round::QueryClass { benefit: c.benefit, due_time: c.due_time };
+        self.classes.iter().map(class).collect()
+    }
+
+    /// The channel of those who pull: `docs/notes/0001-running-pilot.md` says what each figure means.
+    pub fn pull_channel(&self) -> round::Channel {
+        round::Channel {
+            lines_per_second: self.channel.lines_per_second,
+            most_waiting: self.channel.most_waiting,
+            header_lines: 0.0,
+            most_messages: self.channel.most_messages,
+            window: self.channel.window,
+            longest_way: self.longest_hold(),
+        }
+    }
+
+    pub fn rule_figures(&self) -> round::Rules {
+        round::Rules {
+            ask_within: self.roster.period + self.roster.patience,
+            cold_share: self.rules.cold_share,
+            warm_within: self.rules.warm_within,
+            fall_multiple: self.rules.fall_multiple,
+            gone_does_not_bind: self.rules.gone_does_not_bind,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/day.rs
@@ -0,0 +1,266 @@
+//! A day: the stand-ins, a real pilot process, load, faults, and the record of it all.
+
+use crate::askers::Asker;
+use crate::record::{Entry, Event};
+use crate::script::{Fault, Kind, Realm, Script};
+use crate::servers::Server;
+use crate::world::World;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use oatlever_fetch::{get, Place};
+use rustix::process::{kill_process, Pid, Signal};
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+pub struct Options {
+    pub realm: Realm,
+    /// The pilot's program.
+    pub program: PathBuf,
+    /// Where settings and the kept list go.
+    pub folder: PathBuf,
+    /// All listed servers evenly, instead of the pilot's answers.
+    pub even: bool,
+    /// A line a second on standard output.
+    pub progress: bool,
+}
+
+/// The pilot's process, killed when it is dropped.
+struct Pilot {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Pilot {
+    fn start(&mut self, seed: u64) -> Result<(), String> {
+        let log = std::fs::File::options().create(true).append(true).open(&self.log);
+        let log = log.map_err(|e| format!("{}: {e}", self.log.display()))?;
+        let child = Command::new(&self.program)
+            .arg("pilot")
+            .arg(&self.settings)
+            .args(["--log", "json", "--seed", &seed.to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.map_err(|e| format!("{}: {e}", self.program.display()))?);
+        Ok(())
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks it to end. Errors: it did not end well.
+    fn end(&mut self) -> Result<(), String> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        if let Ok(Some(status)) = child.try_wait() {
+            return Err(format!("the pilot ended by itself: {status}, see {}", self.log.display()));
+        }
+        kill_process(Pid::from_child(&child), Signal::TERM).map_err(|e| e.to_string())?;
+        let status = child.wait().map_err(|e| e.to_string())?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(format!("the pilot ended with {status}"))
+        }
+    }
+}
+
+impl Drop for Pilot {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Plays a day. Errors: what kept it from being played.
+pub fn play(script: Script, options: &Options) -> Result<Vec<Entry>, String> {
+    let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+    std::fs::create_dir_all(&options.folder).map_err(|e| told(&options.folder, e))?;
+    let settings = options.folder.join("settings.json");
+    let cache = options.folder.join("list.json");
+    let text = options.realm.settings(&script, &cache.to_string_lossy()).to_string();
+    std::fs::write(&settings, text).map_err(|e| told(&settings, e))?;
+    let log = options.folder.join("pilot.log");
+    let pilot = Pilot { program: options.program.clone(), settings, log, child: None };
+
+    let executor = Rc::new(LocalExecutor::new());
+    let world = World::new(script, options.realm, options.even, executor.clone());
+    async_io::block_on(executor.run(run(world, pilot, options.progress)))
+}
+
+async fn run(world: Rc<World>, pilot: Pilot, progress: bool) -> Result<Vec<Entry>, String> {
+    let script = &world.script;
+    for zone in 0..script.zones {
+        for n in 0..script.servers {
+            let server = Server::new(world.realm.server(zone, n), zone, script.cores);
+            world.servers.borrow_mut().push(Rc::new(server));
+        }
+        let classes = script.classes.len();
+        for n in 0..script.relays {
+            let asker = Asker::new(world.realm.relay(zone, n), zone, true, classes);
+            world.askers.borrow_mut().push(Rc::new(asker));
+        }
+        for n in 0..script.terminals {
+            let asker = Asker::new(world.realm.terminal(zone, n), zone, false, classes);
+            world.askers.borrow_mut().push(Rc::new(asker));
+        }
+    }
+    world.servers.borrow().iter().for_each(|server| server.start(&world, false));
+    let mut tasks = vec![world.executor.spawn(world.clone().roster())];
+    let pilot = Rc::new(RefCell::new(pilot));
+    pilot.borrow_mut().start(script.seed)?;
+    world.record.note(Event::PilotStarted);
+    wait_for_answers(&world).await?;
+    world.askers.borrow().iter().for_each(|asker| asker.start(&world));
+    // Relays ask at their start; load comes when they have had time for an answer.
+    Timer::after(Duration::from_secs_f64(0.3)).await;
+    let start = world.now();
+    for relays in [true, false] {
+        tasks.push(world.executor.spawn(load(world.clone(), relays)));
+    }
+    for fault in script.faults.clone() {
+        let (world, pilot) = (world.clone(), pilot.clone());
+        tasks.push(world.executor.clone().spawn(async move {
+            Timer::after(Duration::from_secs_f64(fault.at)).await;
+            strike(&world, &pilot, &fault).await;
+        }));
+    }
+    tasks.push(world.executor.spawn(watch(world.clone())));
+    let mut second = 0;
+    while world.now() - start < script.seconds {
+        Timer::after(Duration::from_secs_f64((start + f64::from(second) + 1.0 - world.now()).max(0.0))).await;
+        second += 1;
+        if progress {
+            let (got, all) = world.record.service_since(world.now() - 1.0);
+            let up = world.servers.borrow().iter().filter(|server| server.running.get()).count();
+            println!(
+                "{second:4} s  service {:.3}  servers up {up}  queries {}",
+                got / all.max(1e-9),
+                world.queries.get()
+            );
+        }
+    }
+    drop(tasks);
+    pilot.borrow_mut().end()?;
+    Ok(world.record.take())
+}
+
+/// Until the pilot answers with lines.
+async fn wait_for_answers(world: &World) -> Result<(), String> {
+    let probe = Asker::new(world.realm.relay(0, 0), 0, true, world.script.classes.len());
+    for _ in 0..100 {
+        if probe.answered(world).await {
+            return Ok(());
+        }
+        Timer::after(Duration::from_millis(100)).await;
+    }
+    Err("the pilot gave no answer within 10 s of its start".to_string())
+}
+
+/// Queries as they come: independent of each other.
+async fn load(world: Rc<World>, relays: bool) {
+    let script = &world.script;
+    let rate = if relays { script.relay_rate } else { script.terminal_rate };
+    let askers: Vec<Rc<Asker>> =
+        world.askers.borrow().iter().filter(|a| a.relay == relays).cloned().collect();
+    if askers.is_empty() || rate <= 0.0 {
+        return;
+    }
+    let all: f64 = script.classes.iter().map(|class| class.part).sum();
+    let mut at = world.now();
+    loop {
+        at += -(1.0 - world.chance()).ln() / rate;
+        Timer::after(Duration::from_secs_f64((at - world.now()).max(0.0))).await;
+        let mut target = world.chance() * all;
+        let class = script.classes.iter().position(|class| {
+            target -= class.part;
+            target < 0.0
+        });
+        let running: Vec<&Rc<Asker>> = askers.iter().filter(|asker| asker.running.get()).collect();
+        if let Some(asker) = running.get((world.chance() * running.len() as f64) as usize) {
+            let work = Rc::clone(asker).query(world.clone(), class.unwrap_or(0));
+            world.executor.spawn(work).detach();
+        }
+    }
+}
+
+/// Reads what the pilot states of its channel.
+async fn watch(world: Rc<World>) {
+    let Ok(host) = world.realm.status().parse() else { return };
+    let place = Place { host, path: "/status".to_string() };
+    loop {
+        Timer::after(Duration::from_millis(250)).await;
+        let Ok(answer) = get(&place, None, 0.5, 64 << 20).await else { continue };
+        let status: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        if let Some(lines) = status["channel"]["waiting"].as_f64() {
+            world.record.note(Event::Waiting(lines));
+        }
+    }
+}
+
+async fn strike(world: &Rc<World>, pilot: &RefCell<Pilot>, fault: &Fault) {
+    let hit = |zone: u8| fault.zone.is_none_or(|hit| hit == zone);
+    let servers: Vec<Rc<Server>> = world.servers.borrow().iter().filter(|s| hit(s.zone)).cloned().collect();
+    let count = (servers.len() as f64 * fault.part).ceil() as usize;
+    // Spread over the zones that are hit.
+    let step = (servers.len() as f64 / count.max(1) as f64).max(1.0);
+    let chosen = (0..count).filter_map(|n| servers.get((n as f64 * step) as usize).cloned());
+    let chosen: Vec<Rc<Server>> = chosen.collect();
+    let relays: Vec<Rc<Asker>> =
+        world.askers.borrow().iter().filter(|asker| asker.relay && hit(asker.zone)).cloned().collect();
+    let relays = &relays[..(relays.len() as f64 * fault.part).ceil() as usize];
+    let on = |on: bool| {
+        let mut faults = world.faults.borrow_mut();
+        match fault.kind {
+            Kind::Crash if on => chosen.iter().for_each(|server| server.stop(world)),
+            Kind::Crash => chosen.iter().for_each(|server| server.start(world, true)),
+            Kind::Restart if on => chosen.iter().for_each(|server| {
+                server.stop(world);
+                server.start(world, true);
+            }),
+            Kind::Drain => chosen.iter().for_each(|server| server.draining.set(on)),
+            Kind::Hang => chosen.iter().for_each(|server| server.hung.set(on)),
+            Kind::Slow(times) => chosen.iter().for_each(|s| s.slow.set(if on { times } else { 1.0 })),
+            Kind::QuickErrors => chosen.iter().for_each(|server| server.failing.set(on)),
+            Kind::AnswersLost => chosen.iter().for_each(|server| server.losing.set(on)),
+            Kind::ListLies => {
+                let hosts: Vec<Ipv4Addr> = chosen.iter().map(|server| server.host).collect();
+                faults.unlisted = if on { hosts } else { Vec::new() };
+            }
+            Kind::ListEmpty => faults.list_empty = on,
+            Kind::RosterDown => faults.roster_down = on,
+            Kind::ListCut => faults.list_cut = on,
+            Kind::RelaysDie if on => relays.iter().for_each(|relay| relay.stop()),
+            Kind::RelaysDie => relays.iter().for_each(|relay| relay.start(world)),
+            Kind::PilotDies if on => {
+                pilot.borrow_mut().kill();
+                world.record.note(Event::PilotKilled);
+            }
+            Kind::PilotDies => {
+                if pilot.borrow_mut().start(world.script.seed + 1).is_ok() {
+                    world.record.note(Event::PilotStarted);
+                }
+            }
+            Kind::DnsLost => faults.dns_lost = if on { fault.part } else { 0.0 },
+            Kind::DnsLate(late) => faults.dns_late = if on { late } else { 0.0 },
+            Kind::ScrapesHang => faults.scrapes_hang = on,
+            Kind::ReportsReset => {
+                faults.scrapes_hang = on;
+                relays.iter().for_each(|relay| relay.reset());
+            }
+            Kind::Restart => {}
+        }
+    };
+    on(true);
+    Timer::after(Duration::from_secs_f64(fault.lasts)).await;
+    on(false);
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,156 @@
+//! `oatlever-standins`: a small world on loopback round a real pilot.
+
+mod askers;
+mod day;
+mod judge;
+mod record;
+mod script;
+mod servers;
+mod web;
+mod world;
+
+use clap::{Parser, Subcommand};
+use judge::Verdict;
+use record::Entry;
+use script::{Realm, Script};
+use std::io::{BufRead, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "oatlever-standins", version, about = "Stand-ins on loopback for all that a pilot meets")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run everything with embedded settings, one line a second.
+    Demo {
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        #[command(flatten)]
+        place: Place,
+    },
+    /// Play a script against a real pilot and check the rules.
+    Day {
+        script: PathBuf,
+        /// Keep the record, one JSON line each.
+        #[arg(long)]
+        record: Option<PathBuf>,
+        /// Askers take all listed servers evenly instead of the pilot's answers.
+        #[arg(long)]
+        even: bool,
+        #[command(flatten)]
+        place: Place,
+    },
+    /// Check the rules on a record.
+    Judge { record: PathBuf },
+}
+
+#[derive(clap::Args)]
+struct Place {
+    /// Which loopback addresses are used; runs at the same time need different ones.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=24))]
+    realm: u8,
+    /// The pilot's program; left out, the one beside this program.
+    #[arg(long)]
+    pilot: Option<PathBuf>,
+}
+
+const DEMO: &str = include_str!("../scripts/demo.json");
+
+fn play(script: Script, place: &Place, even: bool) -> Result<Vec<Entry>, String> {
+    let beside = || std::env::current_exe().map(|own| own.with_file_name("oatlever"));
+    let program = place.pilot.clone().map_or_else(beside, Ok).map_err(|e| e.to_string())?;
+    if !program.exists() {
+        return Err(format!(
+            "{}: no pilot here; build the workspace or name it by --pilot",
+            program.display()
+        ));
+    }
+    let folder = std::env::temp_dir().join(format!("oatlever-{}-{}", std::process::id(), place.realm));
+    let realm = Realm(place.realm);
+    println!("dns {}  status http://{}/status  settings {}", realm.dns(), realm.status(), folder.display());
+    let played =
+        day::play(script, &day::Options { realm, program, folder: folder.clone(), even, progress: true });
+    if played.is_ok() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    played
+}
+
+fn report(verdict: &Verdict) -> bool {
+    println!("service {:.3}   worst second {:.3}", verdict.service(), verdict.worst_second);
+    println!("cold servers: at most {:.2} of their limit", verdict.coldest);
+    println!("channel: at most {} lines waited", verdict.most_waiting);
+    for (rule, what) in &verdict.broken {
+        println!("rule {rule} broken: {what}");
+    }
+    let kept =
+        verdict
+            .breaches
+            .iter()
+            .map(|n| if *n == 0 { "kept".to_string() } else { format!("{n} times broken") });
+    println!("rules 1 to 5: {}", kept.collect::<Vec<_>>().join(", "));
+    verdict.broken.is_empty()
+}
+
+fn written(path: &Path, script: &Script, entries: &[Entry]) -> std::io::Result<()> {
+    let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
+    writeln!(file, "{}", serde_json::to_string(script)?)?;
+    for entry in entries {
+        writeln!(file, "{}", serde_json::to_string(entry)?)?;
+    }
+    file.flush()
+}
+
+fn recorded(path: &Path) -> Result<(Script, Vec<Entry>), String> {
+    let named = |line: usize, e: String| format!("{}:{line}: {e}", path.display());
+    let file = std::fs::File::open(path).map_err(|e| named(0, e.to_string()))?;
+    let mut lines = std::io::BufReader::new(file).lines().enumerate();
+    let (_, first) = lines.next().ok_or_else(|| named(1, "an empty record".to_string()))?;
+    let first = first.map_err(|e| named(1, e.to_string()))?;
+    let script = Script::read(&first).map_err(|e| named(1, e))?;
+    let entry = |(n, line): (usize, std::io::Result<String>)| {
+        let line = line.map_err(|e| named(n + 1, e.to_string()))?;
+        serde_json::from_str(&line).map_err(|e| named(n + 1, e.to_string()))
+    };
+    Ok((script, lines.map(entry).collect::<Result<_, String>>()?))
+}
+
+fn run(command: Command) -> Result<bool, String> {
+    match command {
+        Command::Demo { seconds, place } => {
+            let mut script = Script::read(DEMO)?;
+            script.seconds = seconds;
+            let entries = play(script.clone(), &place, false)?;
+            Ok(report(&judge::judge(&script, &entries)))
+        }
+        Command::Day { script, record, even, place } => {
+            let text = std::fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
+            let script = Script::read(&text).map_err(|e| format!("{}: {e}", script.display()))?;
+            let entries = play(script.clone(), &place, even)?;
+            if let Some(path) = record {
+                written(&path, &script, &entries).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            Ok(report(&judge::judge(&script, &entries)))
+        }
+        Command::Judge { record } => {
+            let (script, entries) = recorded(&record)?;
+            Ok(report(&judge::judge(&script, &entries)))
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(what) => {
+            eprintln!("oatlever-standins: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/tables/src/history.rs
@@ -0,0 +1,83 @@
+//! The last changes of tables, each with the round that made it and what had come in.
+
+use oatlever::round::{Address, Round};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What came in for a round, counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    pub lists: usize,
+    pub streams: usize,
+    pub queries: usize,
+    pub tries: usize,
+    pub health: usize,
+    pub receipts: usize,
+    pub wakes: usize,
+}
+
+impl News {
+    pub fn of(round: &Round) -> Self {
+        News {
+            lists: round.lists.len(),
+            streams: round.streams.len(),
+            queries: round.queries.len(),
+            tries: round.tries.len(),
+            health: round.health.len(),
+            receipts: round.receipts.len(),
+            wakes: round.wakes.len(),
+        }
+    }
+
+    /// The kinds that came in, with their number.
+    pub fn kinds(&self) -> impl Iterator<Item = (&'static str, usize)> {
+        let all = [
+            ("lists", self.lists),
+            ("streams", self.streams),
+            ("queries", self.queries),
+            ("tries", self.tries),
+            ("health", self.health),
+            ("receipts", self.receipts),
+            ("wakes", self.wakes),
+        ];
+        all.into_iter().filter(|(_, count)| *count > 0)
+    }
+}
+
+/// A table changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub version: u64,
+    /// s, on the pilot's clock.
+    pub at: f64,
+    pub round: u64,
+    pub news: News,
+    pub table: u16,
+    /// Server, weight before, weight after.
+    pub lines: Vec<(Address, f64, f64)>,
+    /// By class, where levels were ordered: the level and the mode of a further try.
+    pub levels: BTreeMap<u16, (f64, u8)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct History {
+    most: usize,
+    changes: VecDeque<Change>,
+}
+
+impl History {
+    pub fn keep(most: usize) -> Self {
+        History { most: most.max(1), changes: VecDeque::new() }
+    }
+
+    pub fn push(&mut self, change: Change) {
+        if self.changes.len() == self.most {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
+
+    /// Newest first.
+    pub fn newest(&self) -> impl Iterator<Item = &Change> {
+        self.changes.iter().rev()
+    }
+}
--- /dev/null
+++ b/tables/src/lib.rs
@@ -0,0 +1,285 @@
+//! What the orders of a pilot add up to: which lines each asker may use, and since which version.
+//!
+//! [`Tables`] is the [`Writer`] that orders go to. Every front reads from it and decides nothing anew.
+//! It knows no sockets, clocks or files: the time comes in with each call, in seconds.
+//!
+//! A round is written between [`Tables::open`] and [`Tables::close`]; readers see it whole or not at all,
+//! as nothing is read in between.
+
+mod history;
+mod index;
+mod pull;
+
+pub use history::{Change, History, News};
+pub use index::{Index, Line, Spread};
+pub use pull::Pull;
+
+use oatlever::round::{Address, Receipt, Writer};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What an asker may use for a class now.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    pub table: u16,
+    /// The version that last changed these lines.
+    pub version: u64,
+    pub index: &'a Index,
+    /// Part of the class that is let in, or queries a second, as the site's levels say.
+    pub level: f64,
+    /// Mode of a further try.
+    pub tries: u8,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Table {
+    lines: BTreeMap<Address, f64>,
+    /// By class.
+    levels: BTreeMap<u16, (f64, u8)>,
+    index: Index,
+    version: u64,
+    users: BTreeSet<u16>,
+}
+
+/// What is asked of the program itself in a round, beside tables.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Chores {
+    /// Servers to check.
+    pub checks: Vec<Address>,
+    /// Seconds until a wake, and its number.
+    pub wakes: Vec<(f64, u64)>,
+    pub notes: Vec<String>,
+}
+
+/// A round as it is being written.
+#[derive(Debug, Default)]
+struct Open {
+    now: f64,
+    round: u64,
+    news: News,
+    /// Lines touched: the weight before.
+    before: BTreeMap<(u16, Address), f64>,
+    /// Tables with levels touched.
+    turned: BTreeSet<u16>,
+    /// Lines and levels to each asker.
+    cost: BTreeMap<u16, f64>,
+    mark: Option<u64>,
+}
+
+pub struct Tables {
+    classes: usize,
+    tables: Vec<Table>,
+    bound: Vec<Option<u16>>,
+    withdrawn: BTreeSet<Address>,
+    version: u64,
+    open: Open,
+    chores: Chores,
+    pub pull: Pull,
+    pub history: History,
+}
+
+impl Tables {
+    /// For so many askers and classes; `pull` keeps the book of what waits, `kept` changes are remembered.
+    pub fn new(askers: usize, classes: usize, pull: Pull, kept: usize) -> Self {
+        Tables {
+            classes,
+            tables: Vec::new(),
+            bound: vec![None; askers],
+            withdrawn: BTreeSet::new(),
+            version: 0,
+            open: Open::default(),
+            chores: Chores::default(),
+            pull,
+            history: History::keep(kept),
+        }
+    }
+
+    /// The newest version: it counts rounds that changed something.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What an asker may use for a class; none before it is bound.
+    pub fn held(&self, asker: u16, class: u16) -> Option<View<'_>> {
+        let table = (*self.bound.get(usize::from(asker))?)?;
+        let found = self.tables.get(usize::from(table))?;
+        let (level, tries) = found.levels.get(&class).copied().unwrap_or((1.0, 0));
+        Some(View { table, version: found.version, index: &found.index, level, tries })
+    }
+
+    /// Each table's number, version, lines and users.
+    pub fn all(&self) -> impl Iterator<Item = (u16, u64, &Index, usize)> {
+        let used = self.tables.iter().enumerate().filter(|(_, t)| !t.users.is_empty() || !t.lines.is_empty());
+        used.map(|(n, t)| (n as u16, t.version, &t.index, t.users.len()))
+    }
+
+    /// Starts a round of orders.
+    pub fn open(&mut self, now: f64, round: u64, news: News) {
+        self.open = Open { now, round, news, ..Open::default() };
+    }
+
+    /// Ends it: indexes, the version, the channel's book and the history follow the orders. Returns what
+    /// the program itself is to do.
+    pub fn close(&mut self) -> Chores {
+        let open = std::mem::take(&mut self.open);
+        let mut moved: BTreeMap<u16, Vec<(Address, f64, f64)>> = BTreeMap::new();
+        for ((table, server), before) in &open.before {
+            let after = self.effective(*table, *server);
+            if after != *before {
+                moved.entry(*table).or_default().push((*server, *before, after));
+            }
+        }
+        if !moved.is_empty() || !open.turned.is_empty() {
+            self.version += 1;
+        }
+        let changed: BTreeSet<u16> = moved.keys().chain(&open.turned).copied().collect();
+        for table in changed {
+            let held = &mut self.tables[usize::from(table)];
+            let usable = held.lines.iter().filter(|(server, _)| !self.withdrawn.contains(server));
+            held.index = Index::of(usable.map(|(server, weight)| (*server, *weight)));
+            held.version = self.version;
+            let (version, at, round, news) = (self.version, open.now, open.round, open.news);
+            let levels = if open.turned.contains(&table) { held.levels.clone() } else { BTreeMap::new() };
+            let lines = moved.remove(&table).unwrap_or_default();
+            self.history.push(Change { version, at, round, news, table, lines, levels });
+        }
+        for (asker, lines) in &open.cost {
+            self.pull.order(*asker, *lines, open.mark, self.version, open.now);
+        }
+        std::mem::take(&mut self.chores)
+    }
+
+    /// An answer built from what is held now goes out to an asker.
+    pub fn hand_out(&mut self, asker: u16, class: u16, now: f64) {
+        self.pull.hand_out(asker, class, self.version, now);
+    }
+
+    /// What has left the channel by now, in the order it was ordered.
+    pub fn receipts(&mut self, now: f64) -> Vec<Receipt> {
+        self.pull.receipts(now)
+    }
+
+    /// A stream broke: the asker holds no table here any more, and nothing waits for it.
+    pub fn leave(&mut self, asker: u16) {
+        if let Some(bound) = self.bound.get_mut(usize::from(asker)) {
+            if let Some(table) = bound.take() {
+                self.tables[usize::from(table)].users.remove(&asker);
+            }
+            self.pull.leave(asker);
+        }
+    }
+
+    fn table(&mut self, number: u16) -> &mut Table {
+        let place = usize::from(number);
+        if place >= self.tables.len() {
+            self.tables.resize(place + 1, Table::default());
+        }
+        &mut self.tables[place]
+    }
+
+    /// What a line weighs for a reader.
+    fn effective(&self, table: u16, server: Address) -> f64 {
+        let held = self.tables.get(usize::from(table)).and_then(|held| held.lines.get(&server));
+        held.copied().filter(|_| !self.withdrawn.contains(&server)).unwrap_or(0.0)
+    }
+
+    /// Notes what a line weighed before this round.
+    fn touch(&mut self, table: u16, server: Address) {
+        let before = self.effective(table, server);
+        self.open.before.entry((table, server)).or_insert(before);
+    }
+
+    fn charge(&mut self, table: u16) {
+        let users = &self.tables[usize::from(table)].users;
+        for asker in users {
+            *self.open.cost.entry(*asker).or_default() += 1.0;
+        }
+    }
+}
+
+impl Writer for Tables {
+    fn weigh(&mut self, table: u16, server: Address, weight: f64) {
+        self.touch(table, server);
+        let lines = &mut self.table(table).lines;
+        if weight > 0.0 {
+            lines.insert(server, weight);
+        } else {
+            lines.remove(&server);
+        }
+        self.charge(table);
+    }
+
+    fn clear(&mut self, table: u16) {
+        let servers: Vec<Address> = self.table(table).lines.keys().copied().collect();
+        for server in servers {
+            self.touch(table, server);
+        }
+        let held = self.table(table);
+        held.lines.clear();
+        held.levels.clear();
+        self.charge(table);
+    }
+
+    fn bind(&mut self, asker: u16, table: u16) {
+        let Some(bound) = self.bound.get_mut(usize::from(asker)) else { return };
+        if let Some(old) = bound.replace(table) {
+            self.tables[usize::from(old)].users.remove(&asker);
+        }
+        let held = self.table(table);
+        held.users.insert(asker);
+        let lines = 1 + held.lines.len() + held.levels.len();
+        *self.open.cost.entry(asker).or_default() += lines as f64;
+    }
+
+    fn withdraw(&mut self, server: Address, out: bool) {
+        let holding = (0..self.tables.len()).filter(|place| self.tables[*place].lines.contains_key(&server));
+        for place in holding.map(|place| place as u16).collect::<Vec<_>>() {
+            self.touch(place, server);
+            self.charge(place);
+        }
+        if out {
+            self.withdrawn.insert(server);
+        } else {
+            self.withdrawn.remove(&server);
+        }
+    }
+
+    fn admit(&mut self, table: u16, classes: u16, level: f64, tries: u8) {
+        let count = self.classes as u16;
+        let named = (0..count).filter(|class| classes == 0 || classes & (1 << class) != 0);
+        let named: Vec<u16> = named.collect();
+        let everywhere = table == u16::MAX;
+        let last = self.tables.len().saturating_sub(1) as u16;
+        for number in if everywhere { 0..=last } else { table..=table } {
+            let held = self.table(number);
+            held.levels.extend(named.iter().map(|class| (*class, (level, tries))));
+            self.open.turned.insert(number);
+            self.charge(number);
+        }
+    }
+
+    fn check_health(&mut self, server: Address) {
+        self.chores.checks.push(server);
+    }
+
+    fn mark(&mut self, number: u64, everyone: bool) {
+        self.open.mark = Some(number);
+        if everyone {
+            let bound = self.bound.iter().enumerate().filter(|(_, table)| table.is_some());
+            for (asker, _) in bound {
+                self.open.cost.entry(asker as u16).or_default();
+            }
+        }
+    }
+
+    // The roster is read without being asked.
+    fn follow_list(&mut self) {}
+    fn fetch_list(&mut self) {}
+
+    fn wake(&mut self, after: f64, number: u64) {
+        self.chores.wakes.push((after, number));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.chores.notes.push(text.to_string());
+    }
+}
