--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -7,7 +7,7 @@
 use oatlever_askers::{Prefixes, Presence};
 use oatlever_dns::Desk;
 use oatlever_reports::{Counters, Owner, Sums, Target, Text};
-use oatlever_roster::{Book, Document, Taken};
+use oatlever_roster::{Book, Document, Moment, Taken};
 use oatlever_settings::{checks, Settings};
 use oatlever_tables::{News, Pull, Tables, View};
 use std::collections::{BTreeMap, BTreeSet};
@@ -154,7 +154,7 @@
 
     /// The list kept from the last run. Errors: it is none; the pilot starts without.
     pub fn restore(&mut self, text: &str, now: f64) -> Result<(), String> {
-        let list = self.book.restore(text, self.settings.zones.len(), now)?;
+        let list = self.book.restore(text, self.settings.zones.len(), now, Moment::now())?;
         self.list("cached", list);
         Ok(())
     }
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -11,7 +11,7 @@
 use oatlever_dns::{Front, Gate, Handler, TcpLimits, Via};
 use oatlever_fetch as fetch;
 use oatlever_reports::{Target, Text};
-use oatlever_roster::{Cache, Source};
+use oatlever_roster::{Cache, Moment, Source};
 use oatlever_settings::Settings;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -210,7 +210,7 @@
                 let worth = core.roster(read, now);
                 if let Some(cache) = cache.as_ref().filter(|_| worth) {
                     // A list that can't be kept is a trouble of the next start only.
-                    if let Err(e) = cache.save(&core.book.keep(now)) {
+                    if let Err(e) = cache.save(&core.book.keep(now, Moment::now())) {
                         tracing::warn!(path = %cache.0.display(), %e, "list of servers not kept");
                     }
                 }
--- a/roster/src/book.rs
+++ b/roster/src/book.rs
@@ -41,7 +41,22 @@
     pub changed: bool,
 }
 
-/// A member as it is kept for the next start: its age instead of a time.
+/// A moment that outlives the process: seconds since this machine's boot, and which boot it was. No step
+/// of the wall's clock moves it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Moment {
+    pub boot: String,
+    pub seconds: f64,
+}
+
+/// The list as it is kept for the next start.
+#[derive(Serialize, Deserialize)]
+struct Shelf {
+    kept_at: Option<Moment>,
+    servers: Vec<Kept>,
+}
+
+/// A member as it is kept: its age instead of a time.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Kept {
     server: String,
@@ -153,8 +168,8 @@
         &self.members
     }
 
-    /// The list as text for the next start.
-    pub fn keep(&self, now: f64) -> String {
+    /// The list as text for the next start, and when it was kept, where that can be told.
+    pub fn keep(&self, now: f64, kept_at: Option<Moment>) -> String {
         let kept = |(server, m): (&Address, &Member)| Kept {
             server: server.to_string(),
             zone: m.zone,
@@ -166,15 +181,24 @@
             metrics: m.metrics,
         };
         let open = self.members.iter().filter(|(_, m)| m.readiness != Readiness::Gone);
-        serde_json::to_string(&open.map(kept).collect::<Vec<_>>()).unwrap_or_default()
+        let shelf = Shelf { kept_at, servers: open.map(kept).collect() };
+        serde_json::to_string(&shelf).unwrap_or_default()
     }
 
-    /// Starts from a kept list. How long the pilot was away is not known, so each server is as young as it
-    /// was when the list was kept. Errors: it is no such list.
-    pub fn restore(&mut self, text: &str, zones: usize, now: f64) -> Result<List, String> {
-        let kept: Vec<Kept> = serde_json::from_str(text).map_err(|e| format!("not a kept list: {e}"))?;
+    /// Starts from a kept list. Servers have aged by the time since; where that is not known, as after a
+    /// boot, each is as young as it was when the list was kept. Errors: it is no such list.
+    pub fn restore(
+        &mut self,
+        text: &str,
+        zones: usize,
+        now: f64,
+        moment: Option<Moment>,
+    ) -> Result<List, String> {
+        let shelf: Shelf = serde_json::from_str(text).map_err(|e| format!("not a kept list: {e}"))?;
+        let since = shelf.kept_at.zip(moment).filter(|(kept, now)| kept.boot == now.boot);
+        let away = since.map_or(0.0, |(kept, now)| (now.seconds - kept.seconds).max(0.0));
         let mut members = BTreeMap::new();
-        for k in kept {
+        for k in shelf.servers {
             let host: SocketAddrV4 = k.server.parse().map_err(|_| format!("{:?} is no server", k.server))?;
             if usize::from(k.zone) >= zones {
                 return Err(format!("{} is in zone {}, of {zones}", k.server, k.zone));
@@ -185,7 +209,7 @@
                 readiness: if k.draining { Readiness::Draining } else { Readiness::Ready },
                 weight: if k.weight > 0.0 && k.weight.is_finite() { k.weight } else { 1.0 },
                 label: k.label,
-                started: k.age.map_or(0.0, |age| (now - age.max(0.0)).max(0.0)),
+                started: k.age.map_or(0.0, |age| (now - away - age.max(0.0)).max(0.0)),
                 metrics: k.metrics,
                 seen: now,
             };
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -7,6 +7,6 @@
 mod document;
 mod reader;
 
-pub use book::{Book, Member, Taken};
+pub use book::{Book, Member, Moment, Taken};
 pub use document::{Document, Listed, Readable};
 pub use reader::{run, Cache, Source};
--- a/roster/src/reader.rs
+++ b/roster/src/reader.rs
@@ -1,5 +1,6 @@
 //! Fetches documents, once a period, and keeps the last good list.
 
+use crate::book::Moment;
 use crate::document::Document;
 use oatlever_fetch as fetch;
 use std::io::Write;
@@ -50,6 +51,16 @@
 #[derive(Clone, Debug)]
 pub struct Cache(pub PathBuf);
 
+impl Moment {
+    /// Now; none where the system does not tell.
+    pub fn now() -> Option<Moment> {
+        let boot = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").ok()?;
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = time.tv_sec as f64 + time.tv_nsec as f64 / 1e9;
+        Some(Moment { boot: boot.trim().to_string(), seconds })
+    }
+}
+
 impl Cache {
     pub fn load(&self) -> std::io::Result<String> {
         std::fs::read_to_string(&self.0)
--- a/standins/src/servers.rs
+++ b/standins/src/servers.rs
@@ -33,6 +33,8 @@
     pub started: Cell<f64>,
     /// Unix time of the start, as the roster tells it.
     pub started_unix: Cell<f64>,
+    /// How often it has started.
+    pub starts: Cell<u32>,
     pub running: Cell<bool>,
     pub draining: Cell<bool>,
     pub hung: Cell<bool>,
@@ -75,6 +77,7 @@
             zone,
             started: Cell::new(0.0),
             started_unix: Cell::new(0.0),
+            starts: Cell::new(0),
             running: Cell::new(false),
             draining: Cell::new(false),
             hung: Cell::new(false),
@@ -108,11 +111,13 @@
         self.started.set(world.now());
         self.started_unix.set(if cold { unix } else { 0.0 });
         self.draining.set(false);
+        self.hung.set(false);
         self.waiting.set(0);
         self.arrivals.borrow_mut().clear();
         *self.cores.borrow_mut() = Rc::new(Semaphore::new(world.script.cores));
         *self.counters.borrow_mut() = Counters::new();
-        world.record.note(Event::Started { server: self.host, cold });
+        self.starts.set(self.starts.get() + 1);
+        world.record.note(Event::Started { server: self.host, cold, start: self.starts.get() });
         let (server, world_for) = (self.clone(), world.clone());
         let host = SocketAddr::from((self.host, crate::script::SERVICE_PORT));
         let serve = web::serve(host, world.executor.clone(), move |path, source| {
@@ -169,6 +174,7 @@
         };
         if self.falls(world, work) {
             // It hangs from now on, and does not come back by itself.
+            world.record.note(Event::Fell { server: self.host });
             self.hung.set(true);
             return failed(500);
         }
