--- /dev/null
+++ b/benches/src/fleet.rs
@@ -0,0 +1,168 @@
+//! Rounds at the size of a fleet.
+
+use oatlever::balance::Balancer;
+use oatlever::round::{
+    Address, Channel, Entry, Levels, List, ListNews, ProxyQueries, QueryClass, Readiness, Round, Rules, Site,
+    Stream, Tries,
+};
+use oatlever_tables::{News, Pull, Tables};
+use std::time::Instant;
+
+pub const ZONES: u16 = 3;
+const CLASSES: usize = 3;
+const HOLD: f64 = 1.5;
+
+pub fn server(n: u16) -> Address {
+    let [high, low] = n.to_be_bytes();
+    Address { host: [10, 0, high, low], port: 7000 }
+}
+
+pub struct Fleet {
+    balancer: Balancer,
+    pub tables: Tables,
+    servers: u16,
+    proxies: u16,
+    now: f64,
+    rounds: u64,
+    chance: fastrand::Rng,
+}
+
+impl Fleet {
+    pub fn new(servers: u16, proxies: u16) -> Self {
+        let site = Site {
+            zones: usize::from(ZONES),
+            pilots: 1,
+            proxies: f64::from(proxies),
+            slices: 0,
+            one_owner: false,
+            list_on_request: false,
+            probes: false,
+            levels: Levels::Ignored,
+            picks_of_two: false,
+            report_period: 1.0,
+            write_life: 0.0,
+        };
+        let most = f64::from(proxies) * 400.0;
+        let channel = Channel {
+            lines_per_second: most,
+            most_waiting: most,
+            header_lines: 0.0,
+            most_messages: 0,
+            window: 10.0,
+            longest_way: HOLD,
+        };
+        let rules = Rules {
+            ask_within: 10.0,
+            cold_share: 0.15,
+            warm_within: 16.0,
+            fall_multiple: 2.5,
+            gone_does_not_bind: true,
+        };
+        let class = QueryClass { benefit: 1.0, due_time: 1.0 };
+        let pull = Pull::new(&vec![true; usize::from(proxies)], CLASSES, HOLD, 1000.0);
+        let mut fleet = Fleet {
+            balancer: Balancer::new(site, vec![class; CLASSES], channel, rules, 7),
+            tables: Tables::new(usize::from(proxies), CLASSES, pull, 2000),
+            servers,
+            proxies,
+            now: 1000.0,
+            rounds: 0,
+            chance: fastrand::Rng::with_seed(7),
+        };
+        let streams = (0..proxies).map(|proxy| Stream { proxy, up: true, zone: proxy % ZONES, rate: 5.0 });
+        let round = Round { lists: vec![fleet.list()], streams: streams.collect(), ..Round::default() };
+        fleet.round(round);
+        fleet
+    }
+
+    pub fn list(&self) -> List {
+        let entry = |n: u16| Entry {
+            server: server(n),
+            zone: n % ZONES,
+            kind: 0,
+            readiness: Readiness::Ready,
+            weight: 1.0,
+            started: 0.0,
+        };
+        List { news: ListNews::Full, entries: (0..self.servers).map(entry).collect() }
+    }
+
+    /// A second's news: reports of all proxies and servers, and the list once more.
+    pub fn news(&mut self) -> Round {
+        let mut round = Round { lists: vec![self.list()], ..Round::default() };
+        for n in 0..self.servers {
+            let time = 0.1 * (0.5 + self.chance.f64() * if n % 10 == 0 { 4.0 } else { 1.0 });
+            for zone in 0..ZONES {
+                round.tries.push(Tries { server: server(n), zone, tries: 5.0, failed: 0.0, time, span: 1.0 });
+            }
+        }
+        for proxy in 0..self.proxies {
+            let came = 2.0 * self.chance.f64();
+            let queries = |class| ProxyQueries { proxy, class, came, span: 1.0 };
+            round.queries.extend((0..CLASSES as u8).map(queries));
+        }
+        round
+    }
+
+    /// Seconds that the round took, tables and books with it.
+    pub fn round(&mut self, mut round: Round) -> f64 {
+        self.rounds += 1;
+        let begun = Instant::now();
+        round.now = self.now;
+        round.receipts = self.tables.receipts(self.now);
+        self.tables.open(self.now, self.rounds, News::of(&round));
+        self.balancer.round(&round, &mut self.tables);
+        self.tables.close();
+        begun.elapsed().as_secs_f64()
+    }
+
+    /// A second passes: everybody asks, reports come, and three beats.
+    pub fn second(&mut self) -> Vec<f64> {
+        for asker in 0..self.proxies {
+            for class in 0..CLASSES as u16 {
+                self.tables.hand_out(asker, class, self.now);
+            }
+        }
+        let news = self.news();
+        let mut took = vec![self.round(news)];
+        for _ in 0..3 {
+            self.now += 0.25;
+            took.push(self.round(Round { wakes: vec![0], ..Round::default() }));
+        }
+        self.now += 0.25;
+        took
+    }
+}
+
+/// KiB of memory that this process holds.
+fn memory() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)).and_then(|n| n.parse().ok()).unwrap_or(0.0)
+}
+
+pub fn measure() {
+    println!("servers  proxies  full round ms: median  99th  longest   beat ms: median  longest   MiB more");
+    for (servers, proxies) in [(24, 12), (90, 120), (175, 240), (350, 480), (700, 960)] {
+        let before = memory();
+        let mut fleet = Fleet::new(servers, proxies);
+        let (mut full, mut beats) = (Vec::new(), Vec::new());
+        for _ in 0..120 {
+            let took = fleet.second();
+            full.push(took[0] * 1e3);
+            beats.extend(took[1..].iter().map(|t| t * 1e3));
+        }
+        full.sort_by(f64::total_cmp);
+        beats.sort_by(f64::total_cmp);
+        let at = |times: &[f64], part: f64| times[((times.len() - 1) as f64 * part) as usize];
+        println!(
+            "{servers:7} {proxies:8} {:22.3} {:6.3} {:8.3} {:17.3} {:8.3} {:10.1}",
+            at(&full, 0.5),
+            at(&full, 0.99),
+            at(&full, 1.0),
+            at(&beats, 0.5),
+            at(&beats, 1.0),
+            (memory() - before) / 1024.0
+        );
+    }
+}
--- /dev/null
+++ b/benches/src/front.rs
@@ -0,0 +1,172 @@
+//! The DNS front beside a bare UDP echo: one serving thread each, the same clients.
+
+use crate::fleet::Fleet;
+use async_io::Async;
+use hdrhistogram::Histogram;
+use oatlever_askers::Prefixes;
+use oatlever_dns::{serve_udp, Desk, Front, Handler, Via};
+use oatlever_settings::Settings;
+use oatlever_tables::View;
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Questions under way at once, by client.
+const CLIENTS: usize = 2;
+const UNDER_WAY: usize = 16;
+
+struct Book(Fleet);
+
+impl Desk for Book {
+    fn asks(&mut self, asker: u16, class: u16, now: f64) -> Option<View<'_>> {
+        self.0.tables.hand_out(asker, class, now);
+        self.0.tables.held(asker, class)
+    }
+    fn knows(&self, _: Ipv4Addr) -> bool {
+        true
+    }
+    fn version(&self) -> u64 {
+        self.0.tables.version()
+    }
+}
+
+struct Served {
+    front: RefCell<Front>,
+    book: RefCell<Book>,
+    began: Instant,
+}
+
+impl Handler for Served {
+    fn answer(&self, packet: &[u8], source: SocketAddr, via: Via) -> Option<Vec<u8>> {
+        let now = 1000.0 + self.began.elapsed().as_secs_f64();
+        self.front.borrow_mut().answer(&mut *self.book.borrow_mut(), packet, source, via, now)
+    }
+}
+
+fn settings() -> Settings {
+    let text = serde_json::json!({
+        "zones": ["north", "south", "west"],
+        "classes": [{"name": "search", "benefit": 1, "due_time": 2}],
+        "rules": {"drain_grace": 3, "without_server": 3, "cold_share": 0.2, "warm_within": 10,
+                  "fall_multiple": 2.5},
+        "channel": {"lines_per_second": 1000, "most_waiting": 1000},
+        "roster": {"source": "http://127.0.0.1:7100/targets", "period": 1, "patience": 0.5},
+        "reports": {"period": 1, "patience": 0.5},
+        "askers": [{"name": "all", "zone": "north", "prefixes": ["127.0.0.0/8"], "usual_rate": 5}],
+        "dns": {"listen": ["127.0.0.1:0"], "origin": "shops.test", "address": "127.0.0.1", "lifetime": 1,
+                "overstay": 0.5,
+                "limits": {"answers_per_second": 1e9, "burst": 1e9, "prefix_bits": 32, "prefixes": 1024,
+                           "connections": 64, "connections_each": 8, "idle": 1.0}},
+        "status": {"listen": "127.0.0.1:0", "away_after": 5}
+    });
+    oatlever_settings::read(&text.to_string()).expect("right settings")
+}
+
+/// A question with EDNS for 1,232 bytes.
+fn question(name: &str, kind: u16) -> Vec<u8> {
+    let mut packet = vec![0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 1];
+    for label in name.split('.') {
+        packet.push(label.len() as u8);
+        packet.extend(label.as_bytes());
+    }
+    packet.push(0);
+    packet.extend(kind.to_be_bytes());
+    packet.extend([0, 1]);
+    packet.extend([0, 0, 41, 4, 208, 0, 0, 0, 0, 0, 0]);
+    packet
+}
+
+/// Answers a second, and their times in us: median and 99th percentile.
+fn load(to: SocketAddr, packet: &[u8], seconds: f64) -> (f64, u64, u64, usize) {
+    let work = |_| {
+        let packet = packet.to_vec();
+        std::thread::spawn(move || {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+            socket.connect(to).expect("an address");
+            socket.set_read_timeout(Some(Duration::from_millis(200))).expect("a time-out");
+            let mut times = Histogram::<u64>::new(3).expect("a histogram");
+            let (mut sent, mut answer, mut packet) = (vec![Instant::now(); 65536], vec![0; 4096], packet);
+            let (mut id, mut size) = (0u16, 0);
+            let mut send = |sent: &mut Vec<Instant>| {
+                id = id.wrapping_add(1);
+                packet[..2].copy_from_slice(&id.to_be_bytes());
+                sent[usize::from(id)] = Instant::now();
+                socket.send(&packet).expect("sent");
+            };
+            let until = Instant::now() + Duration::from_secs_f64(seconds);
+            (0..UNDER_WAY).for_each(|_| send(&mut sent));
+            while Instant::now() < until {
+                match socket.recv(&mut answer) {
+                    Ok(length) => {
+                        size = length;
+                        let id = usize::from(u16::from_be_bytes([answer[0], answer[1]]));
+                        times.record(sent[id].elapsed().as_micros() as u64).expect("recorded");
+                        send(&mut sent);
+                    }
+                    Err(_) => (0..UNDER_WAY).for_each(|_| send(&mut sent)),
+                }
+            }
+            (times, size)
+        })
+    };
+    let threads: Vec<_> = (0..CLIENTS).map(work).collect();
+    let (mut all, mut size) = (Histogram::<u64>::new(3).expect("a histogram"), 0);
+    for thread in threads {
+        let (times, length) = thread.join().expect("a client");
+        all.add(times).expect("added");
+        size = length;
+    }
+    (all.len() as f64 / seconds, all.value_at_quantile(0.5), all.value_at_quantile(0.99), size)
+}
+
+/// A server on a thread of its own, for the life of the process.
+fn serve(echo: bool, servers: u16) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let host = socket.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        if echo {
+            return async_io::block_on(async {
+                let socket = Async::<UdpSocket>::try_from(socket).expect("a socket");
+                let mut packet = vec![0; 65535];
+                loop {
+                    let (length, source) = socket.recv_from(&mut packet).await.expect("a packet");
+                    let _ = socket.send_to(&packet[..length], source).await;
+                }
+            });
+        }
+        let settings = settings();
+        let mut prefixes = Prefixes::default();
+        prefixes.insert(Ipv4Addr::new(127, 0, 0, 0), 8, 0);
+        let served = Served {
+            front: RefCell::new(Front::new(&settings, Rc::new(prefixes), 1).expect("a front")),
+            book: RefCell::new(Book(Fleet::new(servers, 12))),
+            began: Instant::now(),
+        };
+        let _ = async_io::block_on(serve_udp(socket, Rc::new(served)));
+    });
+    host
+}
+
+pub fn measure(seconds: f64) {
+    println!("{:34} {:>10} {:>8} {:>8} {:>8} {:>8}", "", "answers/s", "of echo", "p50 us", "p99 us", "bytes");
+    let services = question("_search._tcp.shops.test", 33);
+    let addresses = question("search.shops.test", 1);
+    let none = question("nothing.shops.test", 1);
+    let cases = [
+        ("SRV, 8 servers and addresses", 8, &services),
+        ("SRV, 24 servers", 24, &services),
+        ("A, 4 of 24 servers drawn", 24, &addresses),
+        ("A, 4 of 300 servers drawn", 300, &addresses),
+        ("no such name", 24, &none),
+    ];
+    for (what, servers, packet) in cases {
+        let (bare, front) = (serve(true, 0), serve(false, servers));
+        load(bare, packet, 0.2);
+        load(front, packet, 0.2);
+        let (echo, median, late, size) = load(bare, packet, seconds);
+        println!("{:34} {echo:10.0} {:8.2} {median:8} {late:8} {size:8}", "bare echo of the question", 1.0);
+        let (answers, median, late, size) = load(front, packet, seconds);
+        println!("{what:34} {answers:10.0} {:8.2} {median:8} {late:8} {size:8}", answers / echo);
+    }
+}
--- /dev/null
+++ b/benches/src/main.rs
@@ -0,0 +1,36 @@
+//! `oatlever-benches`: figures for `docs/measurements.md`, ratios side by side in one run.
+
+mod fleet;
+mod front;
+mod structures;
+
+use clap::{Parser, Subcommand};
+
+#[derive(Parser)]
+#[command(name = "oatlever-benches", about = "Measurements of oatlever's parts")]
+struct Arguments {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// DNS answers a second and their time, beside a bare UDP echo.
+    Dns {
+        /// s for each of the two, each time.
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+    },
+    /// A round of decisions and what tables, books and memory cost, by size.
+    Rounds,
+    /// Our structures beside plain ones.
+    Structures,
+}
+
+fn main() {
+    match Arguments::parse().what {
+        What::Dns { seconds } => front::measure(seconds),
+        What::Rounds => fleet::measure(),
+        What::Structures => structures::measure(),
+    }
+}
--- a/dns/src/front.rs
+++ b/dns/src/front.rs
@@ -1,7 +1,7 @@
 //! One question, one answer.
 
 use crate::names::{Names, What};
-use crate::prepared::{question, Prepared};
+use crate::prepared::{question, Addresses, Prepared};
 use hickory_proto::op::{Edns, Message, MessageType, Metadata, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{ClientSubnet, EdnsCode, EdnsOption};
 use hickory_proto::rr::rdata::{A, HINFO, NS, SOA, SRV};
@@ -18,8 +18,6 @@
 const COOKIE: u16 = 10;
 /// Bytes that any DNS message over UDP may have (RFC 1035).
 const PLAIN_UDP: u16 = 512;
-/// Bytes of one A record whose owner is a pointer.
-const A_BYTES: usize = 16;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Via {
@@ -71,6 +69,7 @@
     cookies: Cookies,
     spreads: HashMap<(u16, u16), Spread>,
     prepared: Prepared,
+    made: Addresses,
     chance: fastrand::Rng,
     pub counts: Counts,
 }
@@ -124,6 +123,7 @@
             cookies: Cookies::new(key),
             spreads: HashMap::new(),
             prepared: Prepared::default(),
+            made: Addresses::new(settings.dns.lifetime)?,
             chance,
             counts: Counts::default(),
         })
@@ -263,18 +263,19 @@
                     return Ok(None);
                 };
                 if !view.index.is_empty() {
-                    let fixed = packet.len() + 64;
-                    let room = most.saturating_sub(fixed) / A_BYTES;
+                    let Some(question) = question(packet) else {
+                        reply.fail(ResponseCode::FormErr);
+                        return Ok(None);
+                    };
+                    let edns = reply.edns.as_ref().map(Record::from);
+                    let head = (&reply.metadata, question, edns.as_ref());
+                    let room = self.made.room(head, most)?.max(1);
                     let chance = &mut self.chance;
                     let spread = self.spreads.entry((view.table, class));
                     let spread = spread.or_insert_with(|| Spread::from(chance.f64()));
-                    let drawn =
-                        view.index.draw(self.addresses.min(room.max(1)), spread.step(), || chance.f64());
-                    for line in drawn {
-                        let data = RData::A(A(Ipv4Addr::from(line.server.host)));
-                        reply.answers.push(self.record(query.name(), data));
-                    }
-                    return Ok(None);
+                    let drawn = view.index.draw(self.addresses.min(room), spread.step(), || chance.f64());
+                    let hosts: Vec<Ipv4Addr> = drawn.iter().map(|line| line.server.host.into()).collect();
+                    return self.made.message(head, &hosts).map(Some);
                 }
                 self.no_data(reply, desk.version())?;
             }
--- a/dns/src/prepared.rs
+++ b/dns/src/prepared.rs
@@ -5,15 +5,19 @@
 //! and options.
 
 use hickory_proto::op::{Header, HeaderCounts, Message, Metadata, Query};
-use hickory_proto::rr::{Name, Record, RecordType};
+use hickory_proto::rr::rdata::A;
+use hickory_proto::rr::{Name, RData, Record, RecordType};
 use hickory_proto::serialize::binary::{BinEncodable, BinEncoder};
 use hickory_proto::ProtoError;
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 
 /// Bytes of a header, and of type and class after a question's name (RFC 1035).
 const HEADER: usize = 12;
 const TYPE_AND_CLASS: usize = 4;
 
+/// Bytes of an IPv4 address.
+const ADDRESS: usize = 4;
 /// Names kept; past this all are made anew. Names that get an answer are bounded by the settings, so that
 /// only settings with very many classes and zones ever come here.
 const MOST: usize = 4096;
@@ -52,7 +56,7 @@
     pub fn message(
         &mut self,
         (table, version, name): (u16, u64, &Name),
-        (metadata, question, edns): (&Metadata, &[u8], Option<&Record>),
+        head: Head,
         most: usize,
         records: impl FnOnce() -> Result<(Vec<Record>, Vec<Record>), ProtoError>,
     ) -> Result<Option<Vec<u8>>, ProtoError> {
@@ -65,32 +69,71 @@
             self.kept.insert(key.clone(), encode(version, &key.1, answers, additionals)?);
         }
         let kept = &self.kept[&key];
-        let options = match edns {
-            Some(edns) => {
-                let mut bytes = Vec::with_capacity(48);
-                edns.emit(&mut BinEncoder::new(&mut bytes))?;
-                bytes
-            }
-            None => Vec::new(),
-        };
-        let fixed = HEADER + question.len() + options.len();
+        let options = options(head.2)?;
+        let fixed = HEADER + head.1.len() + options.len();
         let (body, additionals) = match () {
             () if fixed + kept.body.len() <= most => (&kept.body[..], kept.additionals),
             () if fixed + kept.bare <= most => (&kept.body[..kept.bare], 0),
             () => return Ok(None),
         };
-        let counts = HeaderCounts {
-            queries: 1,
-            answers: kept.answers,
-            authorities: 0,
-            additionals: additionals + u16::from(edns.is_some()),
-        };
-        let mut out = Vec::with_capacity(fixed + body.len());
-        Header { metadata: *metadata, counts }.emit(&mut BinEncoder::new(&mut out))?;
-        out.extend_from_slice(question);
-        out.extend_from_slice(body);
-        out.extend_from_slice(&options);
-        Ok(Some(out))
+        whole(head, (kept.answers, body), (additionals, &options)).map(Some)
+    }
+}
+
+/// What stands before and after a body: the header's fields, the question's bytes, the OPT record.
+pub type Head<'a> = (&'a Metadata, &'a [u8], Option<&'a Record>);
+
+fn options(edns: Option<&Record>) -> Result<Vec<u8>, ProtoError> {
+    let mut bytes = Vec::new();
+    if let Some(edns) = edns {
+        edns.emit(&mut BinEncoder::new(&mut bytes))?;
+    }
+    Ok(bytes)
+}
+
+fn whole(
+    (metadata, question, edns): Head,
+    (answers, body): (u16, &[u8]),
+    (additionals, options): (u16, &[u8]),
+) -> Result<Vec<u8>, ProtoError> {
+    let counts = HeaderCounts {
+        queries: 1,
+        answers,
+        authorities: 0,
+        additionals: additionals + u16::from(edns.is_some()),
+    };
+    let mut out = Vec::with_capacity(HEADER + question.len() + body.len() + options.len());
+    Header { metadata: *metadata, counts }.emit(&mut BinEncoder::new(&mut out))?;
+    out.extend_from_slice(question);
+    out.extend_from_slice(body);
+    out.extend_from_slice(options);
+    Ok(out)
+}
+
+/// A records of whatever name was asked for, encoded once but for their addresses.
+pub struct Addresses {
+    /// All of a record before its address.
+    start: Vec<u8>,
+}
+
+impl Addresses {
+    pub fn new(lifetime: u32) -> Result<Self, ProtoError> {
+        let name = Name::from_ascii("any.")?;
+        let record = Record::from_rdata(name.clone(), lifetime, RData::A(A(Ipv4Addr::UNSPECIFIED)));
+        let body = encode(0, &name, vec![record], Vec::new())?.body;
+        Ok(Addresses { start: body[..body.len() - ADDRESS].to_vec() })
+    }
+
+    /// How many addresses a message of so many bytes takes.
+    pub fn room(&self, head: Head, most: usize) -> Result<usize, ProtoError> {
+        let fixed = HEADER + head.1.len() + options(head.2)?.len();
+        Ok(most.saturating_sub(fixed) / (self.start.len() + ADDRESS))
+    }
+
+    pub fn message(&self, head: Head, hosts: &[Ipv4Addr]) -> Result<Vec<u8>, ProtoError> {
+        let records = hosts.iter().flat_map(|host| self.start.iter().copied().chain(host.octets()));
+        let body: Vec<u8> = records.collect();
+        whole(head, (hosts.len() as u16, &body), (0, &options(head.2)?))
     }
 }
 
--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -171,7 +171,7 @@
             true => (format!("_{name}._tcp.shops.test"), Rtype::SRV),
             false => (format!("{name}.shops.test"), Rtype::A),
         };
-        let host: SocketAddr = world.realm.dns().parse().ok()?;
+        let host = world.realm.dns();
         let question = ask(&name, kind, (world.chance() * 65536.0) as u16)?;
         let (lost, late) = {
             let faults = world.faults.borrow();
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -195,8 +195,7 @@
 
 /// Reads what the pilot states of its channel.
 async fn watch(world: Rc<World>) {
-    let Ok(host) = world.realm.status().parse() else { return };
-    let place = Place { host, path: "/status".to_string() };
+    let place = Place { host: world.realm.status(), path: "/status".to_string() };
     loop {
         Timer::after(Duration::from_millis(250)).await;
         let Ok(answer) = get(&place, None, 0.5, 64 << 20).await else { continue };
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -14,6 +14,7 @@
 use record::Entry;
 use script::{Realm, Script};
 use std::io::{BufRead, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -54,6 +55,12 @@
     /// Which loopback addresses are used; runs at the same time need different ones.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=24))]
     realm: u8,
+    /// Where the pilot answers DNS, if elsewhere.
+    #[arg(long)]
+    dns: Option<SocketAddr>,
+    /// Where the pilot shows its status, if elsewhere.
+    #[arg(long)]
+    status: Option<SocketAddr>,
     /// The pilot's program; left out, the one beside this program.
     #[arg(long)]
     pilot: Option<PathBuf>,
@@ -71,7 +78,7 @@
         ));
     }
     let folder = std::env::temp_dir().join(format!("oatlever-{}-{}", std::process::id(), place.realm));
-    let realm = Realm(place.realm);
+    let realm = Realm { number: place.realm, dns: place.dns, status: place.status };
     println!("dns {}  status http://{}/status  settings {}", realm.dns(), realm.status(), folder.display());
     let played =
         day::play(script, &day::Options { realm, program, folder: folder.clone(), even, progress: true });
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,14 +111,19 @@
 
 /// Where everything of a run sits: `127.(10 * realm + zone).kind.number`, so that runs don't meet.
 #[derive(Clone, Copy, Debug)]
-pub struct Realm(pub u8);
+pub struct Realm {
+    pub number: u8,
+    /// Where the pilot is to listen, if elsewhere.
+    pub dns: Option<SocketAddr>,
+    pub status: Option<SocketAddr>,
+}
 
 pub const SERVICE_PORT: u16 = 7000;
 pub const METRICS_PORT: u16 = 9100;
 
 impl Realm {
     fn host(self, zone: u8, kind: u8, n: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, 10 * self.0 + zone + 1, kind, n.wrapping_add(1))
+        Ipv4Addr::new(127, 10 * self.number + zone + 1, kind, n.wrapping_add(1))
     }
     pub fn server(self, zone: u8, n: u8) -> Ipv4Addr {
         self.host(zone, 10, n)
@@ -129,14 +134,14 @@
     pub fn terminal(self, zone: u8, n: u8) -> Ipv4Addr {
         self.host(zone, 30, n)
     }
-    pub fn dns(self) -> String {
-        format!("127.{}.0.1:5300", 10 * self.0)
+    pub fn dns(self) -> SocketAddr {
+        self.dns.unwrap_or(([127, 10 * self.number, 0, 1], 5300).into())
     }
-    pub fn status(self) -> String {
-        format!("127.{}.0.1:7300", 10 * self.0)
+    pub fn status(self) -> SocketAddr {
+        self.status.unwrap_or(([127, 10 * self.number, 0, 1], 7300).into())
     }
-    pub fn roster(self) -> String {
-        format!("127.{}.0.2:7100", 10 * self.0)
+    pub fn roster(self) -> SocketAddr {
+        ([127, 10 * self.number, 0, 2], 7100).into()
     }
 
     /// Settings of a pilot for such a fleet.
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -93,7 +93,7 @@
 
     /// The roster: Prometheus HTTP service discovery.
     pub async fn roster(self: Rc<Self>) {
-        let host = self.realm.roster().parse().unwrap_or_else(|_| ([127, 0, 0, 1], 0).into());
+        let host = self.realm.roster();
         let world = self.clone();
         let keep_up = async {
             loop {
