--- a/benches/src/fleet.rs
+++ b/benches/src/fleet.rs
@@ -5,7 +5,7 @@
     Address, Channel, Entry, Levels, List, ListNews, ProxyQueries, QueryClass, Readiness, Round, Rules, Site,
     Stream, Tries,
 };
-use oatlever_tables::{News, Pull, Tables};
+use oatlever_tables::{Kind, News, Pull, Tables};
 use std::time::Instant;
 
 pub const ZONES: u16 = 3;
@@ -59,7 +59,7 @@
             gone_does_not_bind: true,
         };
         let class = QueryClass { benefit: 1.0, due_time: 1.0 };
-        let pull = Pull::new(&vec![true; usize::from(proxies)], CLASSES, HOLD, 1000.0);
+        let pull = Pull::new(&vec![Kind::Host; usize::from(proxies)], CLASSES, HOLD, 1000.0);
         let mut fleet = Fleet {
             balancer: Balancer::new(site, vec![class; CLASSES], channel, rules, 7),
             tables: Tables::new(usize::from(proxies), CLASSES, pull, 2000),
--- a/dns/tests/front.rs
+++ b/dns/tests/front.rs
@@ -8,7 +8,7 @@
 use oatlever_askers::Prefixes;
 use oatlever_dns::{Desk, Front, Via};
 use oatlever_settings::Settings;
-use oatlever_tables::{News, Pull, Tables, View};
+use oatlever_tables::{Kind, News, Pull, Tables, View};
 use quickcheck::{quickcheck, Gen};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -64,7 +64,7 @@
         for (asker, third) in [(0, 1), (2, 9), (3, 8)] {
             prefixes.insert(Ipv4Addr::new(127, 0, third, 0), 24, asker);
         }
-        let mut tables = Tables::new(4, 2, Pull::new(&[true; 4], 2, 1.5, 0.0), 10);
+        let mut tables = Tables::new(4, 2, Pull::new(&[Kind::Host; 4], 2, 1.5, 0.0), 10);
         tables.open(0.0, 1, News::default());
         for n in 0..servers {
             let server = Address { host: [10, 0, 0, n], port: 7000 + u16::from(n) };
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -9,7 +9,7 @@
 use oatlever_reports::{Counters, Owner, Sums, Target, Text};
 use oatlever_roster::{Book, Document, Moment, Taken};
 use oatlever_settings::{checks, Settings};
-use oatlever_tables::{News, Pull, Tables, View};
+use oatlever_tables::{Kind, News, Pull, Tables, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -76,13 +76,18 @@
             counted: asker.metrics.is_some(),
         };
         let owners: Vec<Owner> = settings.askers.iter().enumerate().map(owner).collect();
-        // Those without counters of their own are groups: some of them may always hold an answer.
-        let groups: Vec<bool> = owners.iter().map(|owner| !owner.counted).collect();
         let host = |text: &String| text.ends_with("/32");
-        let single = settings.askers.iter().map(|a| a.metrics.is_some() && a.prefixes.iter().all(host));
-        let single: Vec<bool> = single.collect();
+        let kind = |asker: &oatlever_settings::Asker| match asker {
+            a if a.node.is_some() => Kind::Stream,
+            a if a.metrics.is_some() && a.prefixes.iter().all(host) => Kind::Host,
+            _ => Kind::Group,
+        };
+        let kinds: Vec<Kind> = settings.askers.iter().map(kind).collect();
+        // Of groups without counters of their own, some may always hold an answer.
+        let lasting = owners.iter().zip(&kinds).map(|(o, kind)| !o.counted && *kind != Kind::Stream);
+        let groups: Vec<bool> = lasting.collect();
         let classes = settings.classes.len();
-        let pull = Pull::new(&single, classes, settings.longest_hold(), now);
+        let pull = Pull::new(&kinds, classes, settings.longest_hold(), now);
         let names = settings.classes.iter().map(|c| c.name.clone()).collect();
         let mut core = Core {
             began: Instant::now(),
--- a/settings/src/checks.rs
+++ b/settings/src/checks.rs
@@ -113,6 +113,11 @@
     let mut prefixes: BTreeMap<String, usize> = BTreeMap::new();
     let mut rest: BTreeMap<&str, usize> = BTreeMap::new();
     let mut names: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut nodes: BTreeMap<&str, usize> = BTreeMap::new();
+    if let Some(xds) = s.xds.as_ref().filter(|xds| xds.patience >= s.rules.drain_grace) {
+        let most = format!("less than /rules/drain_grace, {} s", s.rules.drain_grace);
+        out.push(wrong("/xds/patience".into(), xds.patience, most));
+    }
     for (place, asker) in s.askers.iter().enumerate() {
         let at = format!("/askers/{place}");
         if let Some(first) = names.insert(&asker.name, place) {
@@ -135,7 +140,18 @@
                 ));
             }
         }
-        if asker.prefixes.is_empty() {
+        if let Some(node) = &asker.node {
+            if let Some(first) = nodes.insert(node, place) {
+                let own = format!("a node of its own; asker {first} has the same");
+                out.push(wrong(format!("{at}/node"), format!("{node:?}"), own));
+            }
+            if s.xds.is_none() {
+                out.push(wrong(format!("{at}/node"), format!("{node:?}"), "/xds, as it asks by a stream"));
+            }
+            if !asker.prefixes.is_empty() || asker.metrics.is_some() {
+                out.push(wrong(at.clone(), "a node with prefixes or metrics", "one way of asking"));
+            }
+        } else if asker.prefixes.is_empty() {
             if let Some(first) = rest.insert(&asker.zone, place) {
                 let expected = format!("one asker without prefixes in a zone; asker {first} is one");
                 out.push(wrong(format!("{at}/prefixes"), "none", expected));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -83,8 +83,12 @@
     }
 
     /// The deployment, as the decisions are told of it. Levels are not honoured by those who ask by DNS,
-    /// so they are stated as ignored.
+    /// so they are stated as ignored unless every asker is on a stream.
     pub fn site(&self) -> round::Site {
+        let levels = match self.askers.iter().all(|asker| asker.node.is_some()) {
+            true => round::Levels::Share,
+            false => round::Levels::Ignored,
+        };
         round::Site {
             zones: self.zones.len(),
             pilots: 1,
@@ -93,7 +97,7 @@
             one_owner: false,
             list_on_request: false,
             probes: self.checks.is_some(),
-            levels: round::Levels::Ignored,
+            levels,
             picks_of_two: false,
             report_period: self.reports.period,
             write_life: 0.0,
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -25,6 +25,9 @@
     #[schemars(length(min = 1, max = 65000))]
     pub askers: Vec<Asker>,
     pub dns: Dns,
+    /// xDS streams for proxies that are named by `node`.
+    #[serde(default)]
+    pub xds: Option<Xds>,
     pub status: Status,
 }
 
@@ -40,6 +43,9 @@
     /// s; an answer within this earns the whole benefit.
     #[schemars(range(min = 0.001, max = 3600.0))]
     pub due_time: f64,
+    /// It must never run twice.
+    #[serde(default)]
+    pub once: bool,
 }
 
 /// The figures of the rules.
@@ -166,11 +172,41 @@
     /// Where its counters are read, `http://host:port/path`. Left out, servers' counters by client count.
     #[serde(default)]
     pub metrics: Option<String>,
+    /// The name it gives itself on an xDS stream. It asks by no other way then.
+    #[serde(default)]
+    pub node: Option<String>,
     /// Queries a second it usually gets.
     #[schemars(range(min = 0.0, max = 1e9))]
     pub usual_rate: f64,
 }
 
+/// The xDS front.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Xds {
+    #[schemars(length(min = 1, max = 64))]
+    pub listen: Vec<SocketAddr>,
+    /// s; a proxy that neither acknowledges nor refuses what it was sent for so long is cut off.
+    #[schemars(range(min = 0.1, max = 600.0))]
+    pub patience: f64,
+    /// The largest message read, in bytes.
+    #[serde(default = "message_bytes")]
+    #[schemars(range(min = 1024, max = 100_000_000))]
+    pub most_bytes: usize,
+    /// Open connections in all.
+    #[serde(default = "connections")]
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub connections: usize,
+}
+
+fn message_bytes() -> usize {
+    1 << 20
+}
+
+fn connections() -> usize {
+    4096
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Dns {
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use history::{Change, History, News};
 pub use index::{Index, Line, Spread};
-pub use pull::Pull;
+pub use pull::{Kind, Pull};
 
 use oatlever::round::{Address, Receipt, Writer};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tables/src/pull.rs
+++ b/tables/src/pull.rs
@@ -1,8 +1,8 @@
-//! The channel of those who pull: what was ordered and may not be in use everywhere yet.
+//! The channel: what was ordered and may not be in use everywhere yet.
 //!
-//! Nobody is pushed to, so a message waits while an answer older than it may still be in use: until the
+//! Those who pull are not pushed to, so a message to them waits while an answer older than it may still be in use: until the
 //! last such answer handed to the asker has run out, or, where the asker is one host, until it was handed
-//! newer ones for all it holds. Receipts are passed on in the order of the orders, as the decisions take
+//! newer ones for all it holds. A message to a proxy on a stream waits until it is acknowledged. Receipts are passed on in the order of the orders, as the decisions take
 //! one for proof that all earlier messages have left.
 
 use oatlever::round::Receipt;
@@ -11,10 +11,21 @@
 /// Until when answers of a class may be in use, by those who were handed them.
 type Holds = Vec<f64>;
 
+/// How an asker comes by its tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Many hosts pull, each for itself.
+    Group,
+    /// One host pulls; it forgets an answer when it gets the next.
+    Host,
+    /// It holds a stream, is pushed to and acknowledges.
+    Stream,
+}
+
 #[derive(Clone, Debug)]
 struct Asker {
-    /// It stands for one host, which forgets an answer when it gets the next.
-    single: bool,
+    kind: Kind,
+    /// Of those who pull.
     until: Holds,
     /// Its messages that wait, oldest first, by number since the start.
     own: VecDeque<u64>,
@@ -53,16 +64,13 @@
 
 impl Pull {
     /// `hold` is how long an answer may be in use, s. What others may have handed out before `start` is
-    /// assumed to be in use as long as anything could be. `single` says which askers are one host.
-    pub fn new(single: &[bool], classes: usize, hold: f64, start: f64) -> Self {
-        let asker = |single: &bool| Asker {
-            single: *single,
-            until: vec![start + hold; classes],
-            own: VecDeque::new(),
-        };
+    /// assumed to be in use as long as anything could be.
+    pub fn new(askers: &[Kind], classes: usize, hold: f64, start: f64) -> Self {
+        let asker =
+            |kind: &Kind| Asker { kind: *kind, until: vec![start + hold; classes], own: VecDeque::new() };
         Pull {
             hold,
-            askers: single.iter().map(asker).collect(),
+            askers: askers.iter().map(asker).collect(),
             messages: VecDeque::new(),
             taken: 0,
             waiting: 0.0,
@@ -74,8 +82,11 @@
     /// Lines of changes ordered for an asker, that `version` brings.
     pub fn order(&mut self, asker: u16, lines: f64, number: Option<u64>, version: u64, now: f64) {
         let Some(held) = self.askers.get_mut(usize::from(asker)) else { return };
-        let until = held.until.iter().map(|until| if *until > now { *until } else { f64::NEG_INFINITY });
-        let until = until.collect();
+        let open = |until: &f64| if *until > now { *until } else { f64::NEG_INFINITY };
+        let until = match held.kind {
+            Kind::Stream => vec![f64::INFINITY],
+            _ => held.until.iter().map(open).collect(),
+        };
         held.own.push_back(self.taken + self.messages.len() as u64);
         self.messages.push_back(Message { asker, number, version, lines, until });
         self.ordered += 1;
@@ -90,7 +101,7 @@
         let Some(held) = self.askers.get_mut(usize::from(asker)) else { return };
         let Some(until) = held.until.get_mut(class) else { return };
         *until = now + self.hold;
-        if held.single {
+        if held.kind == Kind::Host {
             for number in &held.own {
                 let message = &mut self.messages[(number - self.taken) as usize];
                 if message.version <= version {
@@ -128,9 +139,27 @@
         out
     }
 
-    /// When the next receipt may come, if nobody asks before.
-    pub fn next_at(&self) -> Option<f64> {
-        self.messages.front().map(Message::left_at)
+    /// A proxy on a stream has acknowledged all up to a version.
+    pub fn acknowledge(&mut self, asker: u16, version: u64) {
+        self.end(asker, version, true);
+    }
+
+    /// A proxy on a stream has refused what a version brought: it has left the channel without a receipt.
+    pub fn refuse(&mut self, asker: u16, version: u64) {
+        self.end(asker, version, false);
+    }
+
+    fn end(&mut self, asker: u16, version: u64, taken: bool) {
+        let Some(held) = self.askers.get(usize::from(asker)).filter(|a| a.kind == Kind::Stream) else {
+            return;
+        };
+        for number in &held.own {
+            let message = &mut self.messages[(number - self.taken) as usize];
+            if message.version <= version && !message.until.is_empty() {
+                message.until.clear();
+                message.number = message.number.filter(|_| taken);
+            }
+        }
     }
 
     /// Lines that wait, counted at each asker concerned.
--- a/tables/tests/tables.rs
+++ b/tables/tests/tables.rs
@@ -2,7 +2,7 @@
 //! every answer that was handed out.
 
 use oatlever::round::{Address, Writer};
-use oatlever_tables::{Index, News, Pull, Spread, Tables};
+use oatlever_tables::{Index, Kind, News, Pull, Spread, Tables};
 use quickcheck::{quickcheck, Arbitrary, Gen, TestResult};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -57,7 +57,7 @@
 
 quickcheck! {
     fn what_askers_hold_is_what_was_ordered(orders: Vec<Order>) -> bool {
-        let pull = Pull::new(&[true; ASKERS as usize], CLASSES, HOLD, 0.0);
+        let pull = Pull::new(&[Kind::Host; ASKERS as usize], CLASSES, HOLD, 0.0);
         let mut tables = Tables::new(usize::from(ASKERS), CLASSES, pull, 10);
         let (mut plain, mut seen) = (Plain::default(), Vec::new());
         tables.open(0.0, 0, News::default());
@@ -119,8 +119,8 @@
     /// No receipt while an answer older than the order may be in use; a receipt as soon as none may be,
     /// and nothing ordered earlier still waits.
     fn receipts_tell_the_truth(steps: Vec<(u8, u8, u8)>) -> TestResult {
-        let single = [true, false, true];
-        let mut pull = Pull::new(&single, CLASSES, HOLD, 0.0);
+        let kinds = [Kind::Host, Kind::Group, Kind::Host];
+        let mut pull = Pull::new(&kinds, CLASSES, HOLD, 0.0);
         // Every answer ever handed out: asker, class, version, until. At the start anything may be held.
         let mut answers: Vec<(u16, u16, u64, f64)> = Vec::new();
         for asker in 0..3 {
@@ -138,7 +138,7 @@
             } else {
                 let (class, version) = (u16::from(what) % CLASSES as u16, orders.len() as u64);
                 pull.hand_out(asker, class, version, now);
-                if single[usize::from(asker)] {
+                if kinds[usize::from(asker)] == Kind::Host {
                     answers.retain(|a| (a.0, a.1) != (asker, class));
                 }
                 answers.push((asker, class, version, now + HOLD));
@@ -204,7 +204,7 @@
 /// A change's reason stays in reach: its round and what had come in.
 #[test]
 fn changes_say_which_round_made_them() {
-    let mut tables = Tables::new(1, 1, Pull::new(&[true], 1, HOLD, 0.0), 2);
+    let mut tables = Tables::new(1, 1, Pull::new(&[Kind::Host], 1, HOLD, 0.0), 2);
     for round in 1..=3u8 {
         tables.open(f64::from(round), u64::from(round), News { lists: 1, ..News::default() });
         tables.weigh(0, server(round), 1.0);
@@ -217,10 +217,31 @@
 /// What waits for a proxy that is gone waits for nobody: should it count on, the channel would look full.
 #[test]
 fn nothing_waits_for_who_left() {
-    let mut pull = Pull::new(&[true, true], 1, HOLD, 0.0);
+    let mut pull = Pull::new(&[Kind::Host; 2], 1, HOLD, 0.0);
     pull.order(0, 5.0, Some(1), 1, 0.5);
     pull.order(1, 7.0, Some(1), 1, 0.5);
     pull.leave(0);
     assert_eq!(pull.waiting(), 7.0);
     assert_eq!(pull.receipts(HOLD).len(), 1);
 }
+
+/// An ACK is a receipt, a NACK is none; both have left, and what a broken stream was owed waits no more.
+#[test]
+fn streams_acknowledge_refuse_or_break() {
+    let mut pull = Pull::new(&[Kind::Stream; 3], 1, HOLD, 0.0);
+    for version in 1..=2 {
+        (0..3).for_each(|asker| pull.order(asker, 2.0, Some(version), version, 1.0));
+    }
+    assert!(pull.receipts(1e9).is_empty(), "time alone is no receipt");
+    pull.acknowledge(1, 1);
+    assert!(pull.receipts(2.0).is_empty(), "the one before has not left");
+    pull.refuse(0, 2);
+    let told =
+        |pull: &mut Pull| -> Vec<_> { pull.receipts(3.0).iter().map(|r| (r.proxy, r.number)).collect() };
+    assert_eq!(told(&mut pull), [(1, 1)]);
+    pull.leave(2);
+    assert_eq!(told(&mut pull), []);
+    assert_eq!(pull.waiting(), 2.0);
+    pull.acknowledge(1, 2);
+    assert_eq!((told(&mut pull), pull.waiting()), (vec![(1, 2)], 0.0));
+}
