Serve xDS streams: state of the world and incremental, load reports, on the same tables

The second front, thin: listeners, routes, clusters and endpoints by class, a state machine of versions and nonces without I/O, responses made as HTTP/2 asks for them, LRS into the same sums. A stream is the module's proxy; an ACK its receipt.

--- a/askers/src/presence.rs
+++ b/askers/src/presence.rs
@@ -48,6 +48,13 @@
         true
     }
 
+    /// A stream came up, or broke: no sign is needed while it holds. True where that changes anything.
+    pub fn set(&mut self, id: u16, up: bool) -> bool {
+        let Some(asker) = self.askers.get_mut(usize::from(id)) else { return false };
+        asker.lasting = up;
+        std::mem::replace(&mut asker.up, up) != up
+    }
+
     /// Those that went away by now. Each asker is looked at once in `away_after`, however often it signs.
     pub fn sweep(&mut self, now: f64) -> Vec<u16> {
         let mut gone = Vec::new();
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -10,6 +10,7 @@
 use oatlever_roster::{Book, Document, Moment, Taken};
 use oatlever_settings::{checks, Settings};
 use oatlever_tables::{Kind, News, Pull, Tables, View};
+use oatlever_xds::Load;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -151,6 +152,35 @@
         came
     }
 
+    /// A stream came up, or broke.
+    pub fn hold_stream(&mut self, asker: u16, up: bool) {
+        if !self.presence.set(asker, up) {
+            return;
+        }
+        let name = &self.settings.askers[usize::from(asker)].name;
+        tracing::info!(asker = %name, up, "stream");
+        self.stream(asker, up);
+        if !up {
+            self.tables.leave(asker);
+        }
+        let now = self.now();
+        self.step(now);
+    }
+
+    /// A load report of an asker on a stream.
+    pub fn load(&mut self, asker: u16, loads: Vec<Load>) {
+        let owner = self.owners[usize::from(asker)];
+        for load in loads {
+            self.sums.stated(owner, &load.cluster, load.came, load.span);
+            for met in load.servers {
+                if self.book.known(&met.server).is_some() {
+                    let figures = (met.answered, met.failed, met.seconds);
+                    self.sums.stated_at(owner, met.server, figures, load.span);
+                }
+            }
+        }
+    }
+
     fn list(&mut self, kind: &'static str, list: List) {
         *self.counts.lists.entry(kind).or_default() += 1;
         self.targets_version += 1;
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -70,6 +70,18 @@
     count(r, "dns_proven", "Questions with a good cookie", front.counts.proven);
     count(r, "dns_strangers", "Questions from no asker of the settings", front.counts.strangers);
     measure(r, "dns_connections", "Open TCP connections", pilot.gate.open() as f64);
+    if let Some(streams) = &*pilot.streams.borrow() {
+        let met = streams.counts.borrow();
+        measure(r, "xds_streams", "Open discovery streams", streams.streams() as f64);
+        count(r, "xds_pushes", "Responses sent", met.pushes);
+        count(r, "xds_bytes", "Bytes of responses", met.bytes);
+        count(r, "xds_acknowledged", "Responses taken", met.acknowledged);
+        count(r, "xds_refused", "Responses refused", met.refused);
+        count(r, "xds_stale", "Requests that answer an older response", met.stale);
+        count(r, "xds_loads", "Load reports", met.loads);
+        let ended = met.ended.iter().map(|(why, n)| (why.to_string(), *n));
+        counts(r, ("xds_ended", "Streams that ended", "why"), ended);
+    }
     let mut text = String::new();
     encode(&mut text, &whole)?;
     Ok(text)
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -8,11 +8,13 @@
 use async_signal::{Signal, Signals};
 use event_listener::Event;
 use futures_lite::{future, StreamExt};
+use oatlever::round::Address;
 use oatlever_dns::{Front, Gate, Handler, TcpLimits, Via};
 use oatlever_fetch as fetch;
 use oatlever_reports::{Target, Text};
 use oatlever_roster::{Cache, Moment, Source};
 use oatlever_settings::Settings;
+use oatlever_tables::View;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -32,13 +34,21 @@
     pub gate: Rc<Gate>,
     /// Something came in that a round should take up.
     news: Event,
+    /// Tables may have changed.
+    changed: Rc<Event>,
+    pub streams: RefCell<Option<Rc<Streams>>>,
 }
 
+pub type Streams = oatlever_xds::Shared<StreamDesk>;
+
 impl Pilot {
     fn step(&self) {
         let mut core = self.core.borrow_mut();
-        let now = core.now();
+        let (now, version) = (core.now(), core.tables.version());
         core.step(now);
+        if core.tables.version() != version {
+            self.changed.notify(usize::MAX);
+        }
     }
 
     fn tell(&self) {
@@ -54,11 +64,68 @@
         let answer = front.answer(&mut *core, packet, source, via, now);
         if core.counts.rounds != rounds {
             self.tell();
+            self.changed.notify(usize::MAX);
         }
         answer
     }
 }
 
+/// What streams are pushed, and what their proxies tell.
+pub struct StreamDesk(Rc<Pilot>);
+
+impl oatlever_xds::Desk for StreamDesk {
+    fn now(&self) -> f64 {
+        self.0.core.borrow().now()
+    }
+
+    fn asker(&self, node: &str) -> Option<u16> {
+        let core = self.0.core.borrow();
+        let place = core.settings.askers.iter().position(|asker| asker.node.as_deref() == Some(node));
+        place.map(|place| place as u16)
+    }
+
+    fn arrive(&self, asker: u16) {
+        self.0.core.borrow_mut().hold_stream(asker, true);
+        self.0.changed.notify(usize::MAX);
+        self.0.tell();
+    }
+
+    fn depart(&self, asker: u16) {
+        self.0.core.borrow_mut().hold_stream(asker, false);
+        self.0.changed.notify(usize::MAX);
+        self.0.tell();
+    }
+
+    fn look<R>(&self, asker: u16, class: u16, see: impl FnOnce(Option<View>) -> R) -> R {
+        see(self.0.core.borrow().tables.held(asker, class))
+    }
+
+    fn version(&self) -> u64 {
+        self.0.core.borrow().tables.version()
+    }
+
+    fn zone_of(&self, server: &Address) -> Option<String> {
+        let core = self.0.core.borrow();
+        let zone = core.book.known(server)?.zone;
+        core.settings.zones.get(usize::from(zone)).cloned()
+    }
+
+    fn acknowledged(&self, asker: u16, version: u64) {
+        self.0.core.borrow_mut().tables.pull.acknowledge(asker, version);
+    }
+
+    fn refused(&self, asker: u16, version: u64, why: &str) {
+        let mut core = self.0.core.borrow_mut();
+        let name = &core.settings.askers[usize::from(asker)].name;
+        tracing::warn!(asker = %name, version, why, "tables refused");
+        core.tables.pull.refuse(asker, version);
+    }
+
+    fn load(&self, asker: u16, loads: Vec<oatlever_xds::Load>) {
+        self.0.core.borrow_mut().load(asker, loads);
+    }
+}
+
 /// Whose counters are read, and what becomes of a reading.
 struct ReportDesk(Rc<Pilot>);
 
@@ -139,6 +206,10 @@
         let host = tcp.local_addr().unwrap_or(*host);
         sockets.push((bound(&at, host, "UDP", UdpSocket::bind(host))?, tcp));
     }
+    let mut stream_sockets = Vec::new();
+    for (n, host) in settings.xds.iter().flat_map(|xds| xds.listen.iter().enumerate()) {
+        stream_sockets.push(bound(&format!("/xds/listen/{n}"), *host, "TCP", TcpListener::bind(host))?);
+    }
     let status = settings.status.listen;
     let status = bound("/status/listen", status, "TCP", TcpListener::bind(status))?;
     let source = Source::parse(&settings.roster.source).ok_or("/roster/source: no place to read")?;
@@ -172,7 +243,23 @@
         front: RefCell::new(front),
         gate: gate.clone(),
         news: Event::new(),
+        changed: Rc::new(Event::new()),
+        streams: RefCell::default(),
+    });
+    let streams = settings.xds.as_ref().map(|xds| {
+        let class = |c: &oatlever_settings::Class| oatlever_xds::Class { name: c.name.clone(), once: c.once };
+        let limits = oatlever_xds::Limits {
+            patience: xds.patience,
+            most_bytes: xds.most_bytes,
+            connections: xds.connections,
+            report_period: settings.reports.period,
+        };
+        let classes = settings.classes.iter().map(class).collect();
+        let changed = pilot.changed.clone();
+        // Another life writes other versions, whatever the seed.
+        oatlever_xds::Shared::new(StreamDesk(pilot.clone()), classes, limits, changed, fastrand::u64(..))
     });
+    *pilot.streams.borrow_mut() = streams.clone();
     let executor = Rc::new(LocalExecutor::new());
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     async_io::block_on(executor.run(async {
@@ -195,6 +282,13 @@
             let tcp = oatlever_dns::serve_tcp(tcp, pilot.clone(), gate.clone(), executor.clone());
             tasks.push(executor.spawn(async move { tcp.await.unwrap_or_else(ended_tcp) }));
         }
+        for (socket, shared) in stream_sockets.into_iter().zip(streams.iter().cycle()) {
+            let host = socket.local_addr().map(|host| host.to_string()).unwrap_or_default();
+            tracing::info!(%host, "serving xDS");
+            let ended_streams = ended(format!("xDS at {host}"), failed.clone(), failure.clone());
+            let serve = oatlever_xds::serve(socket, shared.clone(), executor.clone());
+            tasks.push(executor.spawn(async move { serve.await.unwrap_or_else(ended_streams) }));
+        }
         let host = status.local_addr().map(|host| host.to_string()).unwrap_or_default();
         tracing::info!(%host, "serving status");
         let page = status::serve(status, pilot.clone(), executor.clone());
--- a/reports/src/sums.rs
+++ b/reports/src/sums.rs
@@ -57,17 +57,43 @@
         self.classes.iter().position(|class| class == name).map(|place| place as u8)
     }
 
-    /// What a reading counts, and the time that it stands for.
-    fn part(&self, gain: &Gain) -> (f64, f64) {
-        if gain.span > LUMP * self.period {
-            return (self.period / gain.span, self.period);
+    /// What a reading over a span counts, and the time that it stands for.
+    fn part(&self, span: f64) -> (f64, f64) {
+        if span > LUMP * self.period {
+            return (self.period / span, self.period);
+        }
+        (1.0, span)
+    }
+
+    /// Queries of a class that an asker stated itself to have got.
+    pub fn stated(&mut self, owner: Owner, class: &str, came: f64, span: f64) {
+        let (part, span) = self.part(span);
+        match self.classes.iter().position(|name| name == class) {
+            Some(place) => self.add_queries(owner.asker, place as u8, came * part, span),
+            None => self.strange += 1,
+        }
+    }
+
+    /// What an asker stated itself to have met at a server: answered and failed tries, and the seconds of
+    /// the answered ones together.
+    pub fn stated_at(
+        &mut self,
+        owner: Owner,
+        server: Address,
+        (answered, failed, seconds): (f64, f64, f64),
+        span: f64,
+    ) {
+        let (part, span) = self.part(span);
+        let fields =
+            [("answer_seconds_count", answered), ("failed_total", failed), ("answer_seconds_sum", seconds)];
+        for (field, amount) in fields {
+            self.add(server, owner.zone, field, amount * part, span);
         }
-        (1.0, gain.span)
     }
 
     /// A proxy's own counters. `known` says which servers are known.
     pub fn proxy(&mut self, owner: Owner, gain: &Gain, known: impl Fn(&Address) -> bool) {
-        let (part, span) = self.part(gain);
+        let (part, span) = self.part(gain.span);
         for sample in &gain.samples {
             let amount = sample.value * part;
             if sample.name == "proxy_queries_total" {
@@ -91,7 +117,7 @@
 
     /// A server's counters of those who come without a proxy. `owner` says whose a client address is.
     pub fn server(&mut self, server: Address, gain: &Gain, owner: impl Fn(Ipv4Addr) -> Option<Owner>) {
-        let (part, span) = self.part(gain);
+        let (part, span) = self.part(gain.span);
         for sample in &gain.samples {
             let Some(field) = sample.name.strip_prefix("server_") else { continue };
             let Some(client) = sample.label("client").and_then(|text| text.parse().ok()) else { continue };
--- /dev/null
+++ b/xds/src/lib.rs
@@ -0,0 +1,23 @@
+//! The xDS front: tables pushed to proxies on streams, and what they report back.
+//!
+//! `session` is the state machine of one stream, without I/O; `resources` writes listeners, routes, clusters
+//! and endpoints of what tables say; `load` reads load reports; `grpc` frames messages; `server` holds the
+//! sockets. Nothing here decides on routing: see `docs/notes/0002-xds.md`.
+
+pub mod grpc;
+mod load;
+mod resources;
+mod server;
+pub mod session;
+
+pub use load::{Load, Met};
+pub use resources::{Class, Library, Place};
+pub use server::{serve, Desk, Limits, Shared};
+
+/// Paths of the gRPC methods served.
+pub mod methods {
+    pub const STATE: &str =
+        "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
+    pub const DELTA: &str = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources";
+    pub const LOAD: &str = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats";
+}
