--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -1,8 +1,9 @@
 //! Relays and terminals: they ask the DNS, pick by what it answers, and send.
 
 use crate::record::Event;
-use crate::script::{METRICS_PORT, SERVICE_PORT};
+use crate::script::{Front, METRICS_PORT, SERVICE_PORT};
 use crate::servers::{labels, seconds, Labels};
+use crate::streams;
 use crate::web;
 use crate::world::World;
 use async_executor::Task;
@@ -36,12 +37,22 @@
     pub zone: u8,
     /// A relay asks for SRV and counts; a terminal asks for A and keeps one address.
     pub relay: bool,
+    pub front: Front,
     pub running: Cell<bool>,
     held: RefCell<Vec<Held>>,
     /// Classes that a terminal keeps asking for, as no answer has come.
     asking: RefCell<Vec<bool>>,
     tasks: RefCell<Vec<Task<()>>>,
     counters: RefCell<Counters>,
+    /// What it met since its last load report.
+    pub met: RefCell<Vec<Met>>,
+}
+
+/// Of a class: queries that came, and by server answered, failed, and seconds of the answered ones.
+#[derive(Clone, Debug, Default)]
+pub struct Met {
+    pub came: u64,
+    pub servers: BTreeMap<Ipv4Addr, (u64, u64, f64)>,
 }
 
 struct Counters {
@@ -66,16 +77,18 @@
 }
 
 impl Asker {
-    pub fn new(host: Ipv4Addr, zone: u8, relay: bool, classes: usize) -> Self {
+    pub fn new(host: Ipv4Addr, zone: u8, relay: bool, front: Front, classes: usize) -> Self {
         Asker {
             host,
             zone,
             relay,
+            front,
             running: Cell::new(false),
             held: RefCell::new(vec![Held::default(); classes]),
             asking: RefCell::new(vec![false; classes]),
             tasks: RefCell::default(),
             counters: RefCell::new(Counters::new()),
+            met: RefCell::new(vec![Met::default(); classes]),
         }
     }
 
@@ -94,6 +107,11 @@
             return;
         }
         let mut tasks = self.tasks.borrow_mut();
+        if self.front != Front::Dns && !world.even {
+            tasks.push(world.executor.spawn(streams::discover(self.clone(), world.clone())));
+            tasks.push(world.executor.spawn(streams::report(self.clone(), world.clone())));
+            return;
+        }
         let (asker, of) = (self.clone(), world.clone());
         let host = SocketAddr::from((self.host, METRICS_PORT));
         let serve = web::serve(host, world.executor.clone(), move |_, _| {
@@ -124,6 +142,12 @@
         drop(self.tasks.take());
     }
 
+    /// Takes lines that were pushed.
+    pub fn take(&self, world: &World, class: usize, lines: Vec<(Ipv4Addr, u16)>) {
+        world.record.note(Event::Answer { asker: self.host, class: class as u8, lines: lines.clone() });
+        self.held.borrow_mut()[class] = Held { lines, until: f64::INFINITY };
+    }
+
     /// Asks for a class anew. What is held stays in use where no answer comes (RFC 8767).
     async fn refresh(&self, world: &World, class: usize) -> bool {
         let lifetime = f64::from(world.script.lifetime);
@@ -234,6 +258,7 @@
         let query = world.queries.get();
         world.queries.set(query + 1);
         let (kind, begun) = (&world.script.classes[class], world.now());
+        self.met.borrow_mut()[class].came += 1;
         if self.relay {
             self.counters.borrow().queries.get_or_create(&labels(&[("class", &kind.name)])).inc();
         } else if self.held.borrow()[class].until + world.script.overstay * world.chance() < begun {
@@ -249,7 +274,7 @@
                 break;
             };
             let (at, ran) = (world.now(), self.attempt(&world, class, query, server, begun).await);
-            self.count(server, ran == Some(true), world.now() - at);
+            self.count(class, server, ran == Some(true), world.now() - at);
             answered = ran == Some(true);
             // Only what surely never ran is tried again.
             if ran.is_some() || !self.running.get() {
@@ -282,7 +307,13 @@
         }
     }
 
-    fn count(&self, server: Ipv4Addr, answered: bool, took: f64) {
+    fn count(&self, class: usize, server: Ipv4Addr, answered: bool, took: f64) {
+        let mut met = self.met.borrow_mut();
+        let at = met[class].servers.entry(server).or_default();
+        match answered {
+            true => *at = (at.0 + 1, at.1, at.2 + took),
+            false => at.1 += 1,
+        }
         let counters = self.counters.borrow();
         let server = labels(&[("server", &format!("{server}:{SERVICE_PORT}"))]);
         counters.tries.get_or_create(&server).inc();
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -2,7 +2,7 @@
 
 use crate::askers::Asker;
 use crate::record::{Entry, Event};
-use crate::script::{Fault, Kind, Realm, Script};
+use crate::script::{Fault, Front, Kind, Realm, Script};
 use crate::servers::Server;
 use crate::world::World;
 use async_executor::LocalExecutor;
@@ -106,11 +106,11 @@
         }
         let classes = script.classes.len();
         for n in 0..script.relays {
-            let asker = Asker::new(world.realm.relay(zone, n), zone, true, classes);
+            let asker = Asker::new(world.realm.relay(zone, n), zone, true, script.relays_by.of(n), classes);
             world.askers.borrow_mut().push(Rc::new(asker));
         }
         for n in 0..script.terminals {
-            let asker = Asker::new(world.realm.terminal(zone, n), zone, false, classes);
+            let asker = Asker::new(world.realm.terminal(zone, n), zone, false, Front::Dns, classes);
             world.askers.borrow_mut().push(Rc::new(asker));
         }
     }
@@ -156,7 +156,7 @@
 
 /// Until the pilot answers with lines.
 async fn wait_for_answers(world: &World) -> Result<(), String> {
-    let probe = Asker::new(world.realm.relay(0, 0), 0, true, world.script.classes.len());
+    let probe = Asker::new(world.realm.terminal(0, 0), 0, true, Front::Dns, world.script.classes.len());
     for _ in 0..100 {
         if probe.answered(world).await {
             return Ok(());
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod record;
 mod script;
 mod servers;
+mod streams;
 mod web;
 mod world;
 
@@ -40,6 +41,9 @@
         /// Keep the record, one JSON line each.
         #[arg(long)]
         record: Option<PathBuf>,
+        /// How relays come by their tables, whatever the script says.
+        #[arg(long, value_enum)]
+        relays_by: Option<script::Front>,
         /// Askers take all listed servers evenly instead of the pilot's answers.
         #[arg(long)]
         even: bool,
@@ -135,9 +139,10 @@
             let entries = play(script.clone(), &place, false)?;
             Ok(report(&judge::judge(&script, &entries)))
         }
-        Command::Day { script, record, even, place } => {
+        Command::Day { script, record, relays_by, even, place } => {
             let text = std::fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
-            let script = Script::read(&text).map_err(|e| format!("{}: {e}", script.display()))?;
+            let mut script = Script::read(&text).map_err(|e| format!("{}: {e}", script.display()))?;
+            script.relays_by = relays_by.unwrap_or(script.relays_by);
             let entries = play(script.clone(), &place, even)?;
             if let Some(path) = record {
                 written(&path, &script, &entries).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -30,12 +30,37 @@
     /// The roster tells of a change so much later.
     pub list_late: f64,
     pub gone_does_not_bind: bool,
+    /// How relays come by their tables.
+    #[serde(default)]
+    pub relays_by: Front,
     #[serde(default)]
     pub faults: Vec<Fault>,
-    /// Servers are warm at the start of the day.
     pub most_waiting: f64,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "snake_case")]
+pub enum Front {
+    #[default]
+    Dns,
+    /// xDS, state of the world.
+    State,
+    /// xDS, incremental.
+    Delta,
+    /// One relay each in turn.
+    All,
+}
+
+impl Front {
+    /// The front of a relay.
+    pub fn of(self, relay: u8) -> Front {
+        match self {
+            Front::All => [Front::Dns, Front::State, Front::Delta][usize::from(relay % 3)],
+            own => own,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
@@ -140,6 +165,9 @@
     pub fn status(self) -> SocketAddr {
         self.status.unwrap_or(([127, 10 * self.number, 0, 1], 7300).into())
     }
+    pub fn xds(self) -> SocketAddr {
+        ([127, 10 * self.number, 0, 1], 7400).into()
+    }
     pub fn roster(self) -> SocketAddr {
         ([127, 10 * self.number, 0, 2], 7100).into()
     }
@@ -151,6 +179,11 @@
         for zone in 0..script.zones {
             for n in 0..script.relays {
                 let host = self.relay(zone, n);
+                if script.relays_by.of(n) != Front::Dns {
+                    askers.push(json!({"name": format!("relay-{zone}-{n}"), "node": host.to_string(),
+                        "zone": zones[usize::from(zone)], "usual_rate": script.relay_rate / relays}));
+                    continue;
+                }
                 askers.push(json!({"name": format!("relay-{zone}-{n}"), "zone": zones[usize::from(zone)],
                     "prefixes": [format!("{host}/32")], "metrics": format!("http://{host}:{METRICS_PORT}/metrics"),
                     "usual_rate": script.relay_rate / relays}));
@@ -161,7 +194,10 @@
                 "usual_rate": script.terminal_rate / f64::from(script.zones)}));
         }
         let classes = script.classes.iter();
-        let classes = classes.map(|c| json!({"name": c.name, "benefit": c.benefit, "due_time": c.due}));
+        let classes = classes.map(|c| {
+            json!({"name": c.name, "benefit": c.benefit, "due_time": c.due,
+            "once": c.once})
+        });
         json!({
             "zones": zones,
             "classes": classes.collect::<Vec<_>>(),
@@ -176,6 +212,7 @@
             "askers": askers,
             "dns": {"listen": [self.dns()], "origin": "shops.test", "address": "127.0.0.1",
                 "lifetime": script.lifetime, "overstay": script.overstay},
+            "xds": {"listen": [self.xds()], "patience": 2.0},
             "status": {"listen": self.status(), "away_after": 5.0},
         })
     }
--- /dev/null
+++ b/standins/src/streams.rs
@@ -0,0 +1,244 @@
+//! A relay that speaks xDS: it follows clusters and endpoints on a stream, and reports its load.
+
+use crate::askers::Asker;
+use crate::script::{Front, SERVICE_PORT};
+use crate::world::World;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::StreamExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use oatlever_xds::grpc::{framed, Reader, Status};
+use oatlever_xds::methods;
+use prost::Message;
+use smol_hyper::rt::FuturesIo;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use xds_api::pb::envoy::config::core::v3 as core;
+use xds_api::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
+use xds_api::pb::envoy::config::endpoint::v3::{
+    ClusterLoadAssignment, ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats,
+    UpstreamLocalityStats,
+};
+use xds_api::pb::envoy::service::discovery::v3 as discovery;
+use xds_api::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use xds_api::pb::google::protobuf::{Any, Duration as ProtoDuration};
+
+const CLUSTERS: &str = "type.googleapis.com/envoy.config.cluster.v3.Cluster";
+const ENDPOINTS: &str = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
+/// s; a relay whose stream broke dials again so much later, and up to as long again.
+const PAUSE: f64 = 0.2;
+/// Bytes of the largest message read.
+const MOST: usize = 16 << 20;
+
+#[derive(Clone)]
+struct Local(Rc<LocalExecutor<'static>>);
+
+impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
+    fn execute(&self, work: F) {
+        let work = async move {
+            work.await;
+        };
+        self.0.spawn(work).detach();
+    }
+}
+
+type Sender = async_channel::Sender<Bytes>;
+
+/// Calls a method with a first message: further ones go in by the sender, answers come out of the reader. Dropping the sender ends it.
+async fn call(
+    from: Ipv4Addr,
+    to: SocketAddr,
+    path: &str,
+    executor: Rc<LocalExecutor<'static>>,
+    first: Bytes,
+) -> Option<(Sender, Reader<Incoming>)> {
+    let socket = oatlever_fetch::connect(to, Some(SocketAddr::from((from, 0)))).await.ok()?;
+    let local = Local(executor.clone());
+    let (mut requests, connection) =
+        hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await.ok()?;
+    executor.spawn(async move { drop(connection.await) }).detach();
+    let (sender, receiver) = async_channel::unbounded::<Bytes>();
+    sender.try_send(first).ok()?;
+    let body = StreamBody::new(receiver.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes))));
+    let uri = format!("http://{to}{path}");
+    let request =
+        hyper::Request::post(uri).header("content-type", "application/grpc").header("te", "trailers");
+    let response = requests.send_request(request.body(body.boxed_unsync()).ok()?);
+    let reader = response.await.ok()?.into_body();
+    Some((sender, Reader::new(reader, MOST)))
+}
+
+fn node(asker: &Asker) -> Option<core::Node> {
+    Some(core::Node { id: asker.host.to_string(), ..Default::default() })
+}
+
+/// A cluster's class and lines.
+fn lines(world: &World, resource: &Any) -> Option<(usize, Vec<(Ipv4Addr, u16)>)> {
+    let assignment = ClusterLoadAssignment::decode(&resource.value[..]).ok()?;
+    let class = world.script.classes.iter().position(|class| class.name == assignment.cluster_name)?;
+    let mut found = Vec::new();
+    for endpoint in assignment.endpoints.iter().flat_map(|zone| &zone.lb_endpoints) {
+        let weight = endpoint.load_balancing_weight.as_ref()?.value;
+        let Some(HostIdentifier::Endpoint(one)) = &endpoint.host_identifier else { return None };
+        let Some(core::address::Address::SocketAddress(socket)) = &one.address.as_ref()?.address else {
+            return None;
+        };
+        found.push((socket.address.parse().ok()?, weight));
+    }
+    let most = found.iter().map(|(_, weight)| *weight).max().unwrap_or(1).max(1);
+    let scaled = |weight: u32| (u64::from(weight) * 65_535 / u64::from(most)).max(1) as u16;
+    Some((class, found.into_iter().map(|(host, weight)| (host, scaled(weight))).collect()))
+}
+
+/// Follows tables for ever, dialling again whenever the stream breaks.
+pub async fn discover(asker: Rc<Asker>, world: Rc<World>) {
+    loop {
+        let ended = match asker.front {
+            Front::Delta => delta(&asker, &world).await,
+            _ => state(&asker, &world).await,
+        };
+        drop(ended);
+        Timer::after(Duration::from_secs_f64(PAUSE * (1.0 + world.chance()))).await;
+    }
+}
+
+async fn state(asker: &Asker, world: &World) -> Result<(), Status> {
+    let first = discovery::DiscoveryRequest {
+        node: node(asker),
+        type_url: CLUSTERS.to_string(),
+        ..Default::default()
+    };
+    let Some((sender, mut reader)) = open(asker, world, methods::STATE, framed(&first)).await else {
+        return Ok(());
+    };
+    let mut subscribed = false;
+    while let Some(response) = reader.next::<discovery::DiscoveryResponse>().await? {
+        let names: Vec<String> = world.script.classes.iter().map(|class| class.name.clone()).collect();
+        let mut taken = discovery::DiscoveryRequest {
+            version_info: response.version_info,
+            type_url: response.type_url.clone(),
+            response_nonce: response.nonce,
+            ..Default::default()
+        };
+        if response.type_url == ENDPOINTS {
+            taken.resource_names = names.clone();
+            for (class, lines) in response.resources.iter().filter_map(|resource| lines(world, resource)) {
+                asker.take(world, class, lines);
+            }
+        }
+        // The receiver is the request's body: it lives as long as the stream.
+        let _ = sender.send(framed(&taken)).await;
+        if !std::mem::replace(&mut subscribed, true) {
+            let endpoints = discovery::DiscoveryRequest {
+                type_url: ENDPOINTS.to_string(),
+                resource_names: names,
+                ..Default::default()
+            };
+            let _ = sender.send(framed(&endpoints)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn delta(asker: &Asker, world: &World) -> Result<(), Status> {
+    let names: Vec<String> = world.script.classes.iter().map(|class| class.name.clone()).collect();
+    let first = discovery::DeltaDiscoveryRequest {
+        node: node(asker),
+        type_url: ENDPOINTS.to_string(),
+        resource_names_subscribe: names,
+        ..Default::default()
+    };
+    let Some((sender, mut reader)) = open(asker, world, methods::DELTA, framed(&first)).await else {
+        return Ok(());
+    };
+    while let Some(response) = reader.next::<discovery::DeltaDiscoveryResponse>().await? {
+        let written = response.resources.iter().filter_map(|resource| resource.resource.as_ref());
+        for (class, lines) in written.filter_map(|resource| lines(world, resource)) {
+            asker.take(world, class, lines);
+        }
+        let taken = discovery::DeltaDiscoveryRequest {
+            type_url: response.type_url,
+            response_nonce: response.nonce,
+            ..Default::default()
+        };
+        let _ = sender.send(framed(&taken)).await;
+    }
+    Ok(())
+}
+
+/// A stream with its first message on the way.
+async fn open(asker: &Asker, world: &World, path: &str, first: Bytes) -> Option<(Sender, Reader<Incoming>)> {
+    call(asker.host, world.realm.xds(), path, world.executor.clone(), first).await
+}
+
+/// Reports what was met, as often as the pilot asks for it.
+pub async fn report(asker: Rc<Asker>, world: Rc<World>) {
+    loop {
+        let first = LoadStatsRequest { node: node(&asker), ..Default::default() };
+        let called = open(&asker, &world, methods::LOAD, framed(&first)).await;
+        if let Some((sender, mut reader)) = called {
+            if let Ok(Some(wanted)) = reader.next::<LoadStatsResponse>().await {
+                let interval = wanted.load_reporting_interval.unwrap_or_default();
+                let interval = (interval.seconds as f64 + f64::from(interval.nanos) / 1e9).max(0.1);
+                asker.met.borrow_mut().iter_mut().for_each(|met| *met = Default::default());
+                let mut last = world.now();
+                loop {
+                    Timer::after(Duration::from_secs_f64(interval)).await;
+                    if world.faults.borrow().scrapes_hang {
+                        continue;
+                    }
+                    let message = framed(&stats(&asker, &world, world.now() - last));
+                    last = world.now();
+                    let broken = futures_lite::future::poll_once(reader.next::<LoadStatsResponse>()).await;
+                    if broken.is_some() || sender.send(message).await.is_err() {
+                        break;
+                    }
+                }
+            }
+        }
+        Timer::after(Duration::from_secs_f64(PAUSE * (1.0 + world.chance()))).await;
+    }
+}
+
+fn stats(asker: &Asker, world: &World, span: f64) -> LoadStatsRequest {
+    let mut met = asker.met.borrow_mut();
+    let clusters = met.iter_mut().zip(&world.script.classes).map(|(met, class)| {
+        let met = std::mem::take(met);
+        let endpoint = |(host, (answered, failed, seconds)): (&Ipv4Addr, &(u64, u64, f64))| {
+            let socket = core::SocketAddress {
+                address: host.to_string(),
+                port_specifier: Some(core::socket_address::PortSpecifier::PortValue(SERVICE_PORT.into())),
+                ..Default::default()
+            };
+            UpstreamEndpointStats {
+                address: Some(core::Address { address: Some(core::address::Address::SocketAddress(socket)) }),
+                total_successful_requests: *answered,
+                total_error_requests: *failed,
+                load_metric_stats: vec![EndpointLoadMetricStats {
+                    metric_name: "answer_seconds".to_string(),
+                    num_requests_finished_with_metric: *answered,
+                    total_metric_value: *seconds,
+                }],
+                ..Default::default()
+            }
+        };
+        ClusterStats {
+            cluster_name: class.name.clone(),
+            upstream_locality_stats: vec![UpstreamLocalityStats {
+                total_issued_requests: met.came,
+                upstream_endpoint_stats: met.servers.iter().map(endpoint).collect(),
+                ..Default::default()
+            }],
+            load_report_interval: Some(ProtoDuration {
+                seconds: span as i64,
+                nanos: (span.fract() * 1e9) as i32,
+            }),
+            ..Default::default()
+        }
+    });
+    LoadStatsRequest { cluster_stats: clusters.collect(), ..Default::default() }
+}
--- a/xds/src/session.rs
+++ b/xds/src/session.rs
@@ -205,7 +205,8 @@
         with_versions.filter(differs).collect()
     }
 
-    /// Whether the proxy holds what there is, all of it.
+    /// Whether the proxy holds what there is, all of it. What is under way may hold names given up since
+    /// and taken up again by a request still to come, so nothing is sure before it is answered.
     fn is_current(&self, kind: Kind, source: &dyn Source) -> bool {
         let held = |name: &String| self.taken.get(name).copied().flatten() == source.version(kind, name);
         self.flight.is_none() && self.names(kind, source).iter().all(held)
