Keep versions of tables, and go back to one on command while drains and cold limits go on

Wanted: to know which version did it, and to go back quickly. Commands go over a Unix socket of the pilot's own user.

--- /dev/null
+++ b/pilot/src/control.rs
@@ -0,0 +1,181 @@
+//! Commands to a running pilot: HTTP over a Unix socket that only its own user may use.
+
+use crate::serve::Pilot;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use clap::Subcommand;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use oatlever_tables::{Kept, Refusal};
+use serde_json::{json, Value};
+use smol_hyper::rt::FuturesIo;
+use std::collections::BTreeSet;
+use std::convert::Infallible;
+use std::io::{self, Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Every table: its version, the version it is frozen at, and those that are kept.
+    List,
+    /// The lines of a version.
+    Show { table: u16, version: u64 },
+    /// What differs between two versions.
+    Diff { table: u16, from: u64, to: u64 },
+    /// Freeze a table at an old version; drains and cold limits go on above it.
+    Rollback { table: u16, version: u64 },
+    /// Let a frozen table follow the decisions again.
+    Release { table: u16 },
+}
+
+impl Command {
+    fn request(&self) -> (&'static str, String) {
+        match self {
+            Command::List => ("GET", "/tables".to_string()),
+            Command::Show { table, version } => ("GET", format!("/tables/{table}/{version}")),
+            Command::Diff { table, from, to } => ("GET", format!("/tables/{table}/{from}/{to}")),
+            Command::Rollback { table, version } => ("POST", format!("/tables/{table}/rollback/{version}")),
+            Command::Release { table } => ("POST", format!("/tables/{table}/release")),
+        }
+    }
+}
+
+/// Sends a command and prints the answer. Errors: nobody is there, or the pilot refuses, with its reason.
+pub fn tell(socket: &Path, command: &Command) -> Result<(), String> {
+    let told = |e: io::Error| format!("{}: {e}", socket.display());
+    let (method, path) = command.request();
+    let mut stream = UnixStream::connect(socket).map_err(told)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).map_err(told)?;
+    write!(stream, "{method} {path} HTTP/1.1\r\nhost: pilot\r\nconnection: close\r\n\r\n").map_err(told)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(told)?;
+    let (head, body) = answer.split_once("\r\n\r\n").ok_or("the answer was cut off")?;
+    if head.split(' ').nth(1) != Some("200") {
+        return Err(body.trim_end().to_string());
+    }
+    let value: Value = serde_json::from_str(body).map_err(|e| e.to_string())?;
+    println!("{value:#}");
+    Ok(())
+}
+
+/// Takes the socket's place. A file that nobody listens at is left from a pilot that was killed.
+pub fn bind(path: &str) -> Result<UnixListener, String> {
+    let told = |e: io::Error| format!("/control/socket: {path}: {e}");
+    if UnixStream::connect(path).is_ok() {
+        return Err(format!("/control/socket: {path}: another pilot listens there"));
+    }
+    match std::fs::symlink_metadata(path) {
+        Ok(found) if std::os::unix::fs::FileTypeExt::is_socket(&found.file_type()) => {
+            std::fs::remove_file(path).map_err(told)?;
+        }
+        Ok(_) => return Err(format!("/control/socket: {path}: something else is there")),
+        Err(_) => {}
+    }
+    let listener = UnixListener::bind(path).map_err(told)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600)).map_err(told)?;
+    Ok(listener)
+}
+
+pub async fn serve(
+    socket: UnixListener,
+    pilot: Rc<Pilot>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
+    let socket = Async::<UnixListener>::try_from(socket)?;
+    loop {
+        let Ok((stream, _)) = socket.accept().await else {
+            Timer::after(Duration::from_millis(10)).await;
+            continue;
+        };
+        let pilot = pilot.clone();
+        let talk = async move {
+            let service = service_fn(|request| {
+                let response = page(&pilot, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // However it ends, only this caller is concerned.
+            let io = FuturesIo::new(stream);
+            let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
+        };
+        executor.spawn(talk).detach();
+    }
+}
+
+fn page(pilot: &Pilot, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().trim_start_matches('/');
+    let parts: Vec<&str> = path.split('/').collect();
+    let answer = command(request.method(), &parts).ok_or("no such command".to_string());
+    let (status, text) = match answer.and_then(|command| act(pilot, &command).map_err(|e| e.to_string())) {
+        Ok(value) => (StatusCode::OK, value.to_string()),
+        Err(what) => (StatusCode::BAD_REQUEST, what),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn command(method: &Method, parts: &[&str]) -> Option<Command> {
+    let number = |text: &&str| text.parse::<u64>().ok();
+    let table = |text: &&str| text.parse::<u16>().ok();
+    Some(match (method, parts) {
+        (&Method::GET, ["tables"]) => Command::List,
+        (&Method::GET, ["tables", t, version]) => {
+            Command::Show { table: table(t)?, version: number(version)? }
+        }
+        (&Method::GET, ["tables", t, from, to]) => {
+            Command::Diff { table: table(t)?, from: number(from)?, to: number(to)? }
+        }
+        (&Method::POST, ["tables", t, "rollback", version]) => {
+            Command::Rollback { table: table(t)?, version: number(version)? }
+        }
+        (&Method::POST, ["tables", t, "release"]) => Command::Release { table: table(t)? },
+        _ => return None,
+    })
+}
+
+fn act(pilot: &Pilot, command: &Command) -> Result<Value, Refusal> {
+    let mut core = pilot.core.borrow_mut();
+    let now = core.now();
+    let find = |table: u16, version: u64| -> Result<Kept, Refusal> {
+        let versions = core.tables.versions(table).ok_or(Refusal::NoTable)?;
+        versions.find(version).cloned().ok_or(Refusal::NoVersion)
+    };
+    let changed = match command {
+        Command::List => {
+            let tables = core.tables.all().map(|(table, version, index, users)| {
+                let kept = core.tables.versions(table).into_iter().flat_map(|versions| versions.all());
+                let kept =
+                    kept.map(|k| json!({"version": k.version, "ago": now - k.at, "lines": k.lines.len()}));
+                json!({"table": table, "version": version, "lines": index.lines().len(), "users": users,
+                       "frozen_at": core.tables.frozen_at(table), "kept": kept.collect::<Vec<_>>()})
+            });
+            return Ok(tables.collect());
+        }
+        Command::Show { table, version } => {
+            let kept = find(*table, *version)?;
+            let lines = kept.lines.iter().map(|(server, weight)| (server.to_string(), json!(weight)));
+            return Ok(json!({"table": table, "version": version, "ago": now - kept.at,
+                             "lines": lines.collect::<serde_json::Map<_, _>>()}));
+        }
+        Command::Diff { table, from, to } => {
+            let (from, to) = (find(*table, *from)?.lines, find(*table, *to)?.lines);
+            let servers: BTreeSet<_> = from.keys().chain(to.keys()).collect();
+            let differing = servers.into_iter().filter(|server| from.get(server) != to.get(server));
+            let lines =
+                differing.map(|server| (server.to_string(), json!([from.get(server), to.get(server)])));
+            return Ok(Value::Object(lines.collect()));
+        }
+        Command::Rollback { table, version } => core.tables.roll_back(*table, *version, now)?,
+        Command::Release { table } => core.tables.release(*table, now)?,
+    };
+    drop(core);
+    tracing::warn!(?command, version = changed, "tables changed by hand");
+    pilot.changed.notify(usize::MAX);
+    Ok(json!({"version": changed}))
+}
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -117,6 +117,9 @@
             counts: Counts::default(),
             settings,
         };
+        if let Some(control) = &core.settings.control {
+            core.tables.keep_versions(control.versions);
+        }
         let up: Vec<u16> = core.presence.up().collect();
         for asker in up {
             core.stream(asker, true);
@@ -309,6 +312,11 @@
         round.now = now;
         round.receipts = self.tables.receipts(now);
         self.counts.rounds += 1;
+        if self.tables.any_frozen() {
+            let warm_within = self.settings.rules.warm_within;
+            let young = self.book.members().iter().filter(|(_, m)| now - m.started < warm_within);
+            self.tables.spare(young.map(|(server, _)| *server).collect());
+        }
         let (version, news) = (self.tables.version(), News::of(&round));
         self.tables.open(now, self.counts.rounds, news);
         self.balancer.round(&round, &mut self.tables);
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -1,5 +1,6 @@
 //! `oatlever`: one pilot on sockets.
 
+mod control;
 mod core;
 mod logs;
 mod metrics;
@@ -39,6 +40,14 @@
     Check { settings: PathBuf },
     /// Print the JSON Schema of the settings.
     Schema,
+    /// Look at the versions of a running pilot's tables, go back to one, let it go on.
+    Tables {
+        /// The pilot's `/control/socket`.
+        #[arg(long)]
+        socket: PathBuf,
+        #[command(subcommand)]
+        what: control::Command,
+    },
 }
 
 /// Exit status where the settings or the command line are wrong.
@@ -67,6 +76,10 @@
             println!("{:#}", oatlever_settings::schema());
             Ok(())
         }
+        Command::Tables { socket, what } => control::tell(&socket, &what).map_err(|e| {
+            eprintln!("oatlever: {e}");
+            ExitCode::FAILURE
+        }),
         Command::Check { settings } => read(&settings).map(|s| {
             println!(
                 "{} zones, {} classes, {} askers: settings are right",
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -1,7 +1,7 @@
 //! The sockets of a pilot and the loop that keeps its rounds.
 
 use crate::core::Core;
-use crate::status;
+use crate::{control, status};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_lock::Semaphore;
@@ -35,7 +35,7 @@
     /// Something came in that a round should take up.
     news: Event,
     /// Tables may have changed.
-    changed: Rc<Event>,
+    pub changed: Rc<Event>,
     pub streams: RefCell<Option<Rc<Streams>>>,
 }
 
@@ -222,6 +222,7 @@
     }
     let status = settings.status.listen;
     let status = bound("/status/listen", status, "TCP", listen(status))?;
+    let control = settings.control.as_ref().map(|control| control::bind(&control.socket)).transpose()?;
     let source = Source::parse(&settings.roster.source).ok_or("/roster/source: no place to read")?;
     let cache = settings.roster.cache.clone().map(|path| Cache(path.into()));
 
@@ -305,6 +306,11 @@
         let ended_page = ended("status".to_string(), failed.clone(), failure.clone());
         tasks.push(executor.spawn(async move { page.await.unwrap_or_else(ended_page) }));
 
+        if let Some(socket) = control {
+            let serve = control::serve(socket, pilot.clone(), executor.clone());
+            let ended_control = ended("control".to_string(), failed.clone(), failure.clone());
+            tasks.push(executor.spawn(async move { serve.await.unwrap_or_else(ended_control) }));
+        }
         let roster = &settings.roster;
         let sink = {
             let pilot = pilot.clone();
--- a/pilot/tests/program.rs
+++ b/pilot/tests/program.rs
@@ -231,6 +231,53 @@
     assert_eq!(lines(&Message::from_octets(answer).unwrap()), 3);
 }
 
+/// Back to an old version on command, and on again; drains go through meanwhile. Errors say what is wrong.
+#[test]
+fn tables_go_back_on_command_and_on_again() {
+    let folder = Folder::new("back");
+    folder.list(1..5);
+    let socket = folder.0.join("control");
+    let mut settings = folder.settings();
+    settings["control"] = json!({"socket": socket.to_str().unwrap(), "versions": 20});
+    let settings = folder.write("settings.json", &settings.to_string());
+    let pilot = Pilot::start(&settings);
+    pilot.until("four lines", |answer| lines(answer) == 4);
+    let tables = |arguments: &[&str]| -> Result<Value, String> {
+        let done = program(&[&["tables", "--socket", socket.to_str().unwrap()], arguments].concat());
+        match done.status.code() {
+            Some(0) => Ok(serde_json::from_slice(&done.stdout).unwrap()),
+            code => Err(format!("{code:?} {}", String::from_utf8(done.stderr).unwrap().trim())),
+        }
+    };
+    let first = tables(&["list"]).unwrap()[0]["version"].as_u64().unwrap().to_string();
+    folder.list(1..8);
+    pilot.until("seven lines", |answer| lines(answer) == 7);
+    let second = tables(&["list"]).unwrap()[0]["version"].as_u64().unwrap().to_string();
+    let shown = tables(&["show", "0", &first]).unwrap();
+    assert_eq!(shown["lines"].as_object().unwrap().len(), 4, "{shown}");
+    let differing = tables(&["diff", "0", &first, &second]).unwrap();
+    assert_eq!(differing["10.0.0.7:7000"][0], Value::Null, "{differing}");
+    tables(&["rollback", "0", &first]).unwrap();
+    pilot.until("four lines again", |answer| lines(answer) == 4);
+    assert_eq!(tables(&["list"]).unwrap()[0]["frozen_at"].as_u64().unwrap().to_string(), first);
+    folder.list(2..9);
+    pilot.until("one of the four dropped", |answer| lines(answer) == 3);
+    tables(&["release", "0"]).unwrap();
+    pilot.until("seven lines of the new list", |answer| lines(answer) == 7);
+    assert_eq!(tables(&["release", "0"]), Err("Some(1) oatlever: the table is not frozen".into()));
+    assert_eq!(tables(&["show", "0", "999"]), Err("Some(1) oatlever: that version is not kept".into()));
+    assert_eq!(tables(&["rollback", "9", "1"]), Err("Some(1) oatlever: there is no such table".into()));
+    // A second pilot does not take the socket; one that follows a killed one does.
+    let second = program(&["pilot", settings.to_str().unwrap()]);
+    assert_eq!(second.status.code(), Some(1));
+    assert!(String::from_utf8(second.stderr).unwrap().contains("another pilot listens there"));
+    drop(pilot);
+    assert!(tables(&["list"]).unwrap_err().contains("control"));
+    let pilot = Pilot::start(&settings);
+    pilot.until("lines of the next pilot", |answer| lines(answer) == 7);
+    assert!(tables(&["list"]).unwrap()[0]["frozen_at"].is_null());
+}
+
 /// Without a list nothing can be answered, and that is said at once; a kept list does until there is one.
 #[test]
 fn a_start_without_the_roster_goes_by_the_kept_list() {
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -29,6 +29,25 @@
     #[serde(default)]
     pub xds: Option<Xds>,
     pub status: Status,
+    /// Commands to the running pilot, from this machine.
+    #[serde(default)]
+    pub control: Option<Control>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// Path of a Unix socket, which only the pilot's own user may use.
+    #[schemars(length(min = 1, max = 100))]
+    pub socket: String,
+    /// Versions kept of each table.
+    #[serde(default = "versions")]
+    #[schemars(range(min = 1, max = 10_000))]
+    pub versions: usize,
+}
+
+fn versions() -> usize {
+    64
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -9,15 +9,20 @@
 mod history;
 mod index;
 mod pull;
+mod versions;
 
 pub use history::{Change, History, News};
 pub use index::{Index, Line, Spread};
 pub use pull::{Kind, Pull};
+pub use versions::{frozen, Kept, Lines, Refusal, Versions};
 
 use oatlever::round::{Address, Receipt, Writer};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
+/// Versions kept of each table, where nothing else is set.
+const VERSIONS: usize = 64;
+
 /// What an asker may use for a class now.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -39,6 +44,9 @@
     index: Index,
     version: u64,
     users: BTreeSet<u16>,
+    versions: Versions,
+    /// The version it was rolled back to, and its lines then.
+    frozen: Option<(u64, Lines)>,
 }
 
 /// What is asked of the program itself in a round, beside tables.
@@ -71,6 +79,9 @@
     tables: Vec<Table>,
     bound: Vec<Option<u16>>,
     withdrawn: BTreeSet<Address>,
+    /// Servers that frozen tables must not give more than the decisions do.
+    cold: BTreeSet<Address>,
+    kept: usize,
     version: u64,
     open: Open,
     chores: Chores,
@@ -86,6 +97,8 @@
             tables: Vec::new(),
             bound: vec![None; askers],
             withdrawn: BTreeSet::new(),
+            cold: BTreeSet::new(),
+            kept: VERSIONS,
             version: 0,
             open: Open::default(),
             chores: Chores::default(),
@@ -138,11 +151,21 @@
             self.version += 1;
         }
         let changed: BTreeSet<u16> = moved.keys().chain(&open.turned).copied().collect();
+        // Frozen tables follow what has drained or warmed, whether or not anything was ordered for them.
+        let frozen = self.tables.iter().enumerate().filter(|(_, held)| held.frozen.is_some());
+        let frozen: Vec<u16> = frozen.map(|(place, _)| place as u16).collect();
+        for table in frozen.into_iter().filter(|table| !changed.contains(table)) {
+            if self.usable(table) != self.tables[usize::from(table)].index {
+                self.lay(table, open.now);
+            }
+        }
         for table in changed {
+            let index = self.usable(table);
             let held = &mut self.tables[usize::from(table)];
-            let usable = held.lines.iter().filter(|(server, _)| !self.withdrawn.contains(server));
-            held.index = Index::of(usable.map(|(server, weight)| (*server, *weight)));
+            held.index = index;
             held.version = self.version;
+            let lines = held.index.lines().iter().map(|line| (line.server, line.weight)).collect();
+            held.versions.keep(Kept { version: self.version, at: open.now, lines }, self.kept);
             let (version, at, round, news) = (self.version, open.now, open.round, open.news);
             let levels = if open.turned.contains(&table) { held.levels.clone() } else { BTreeMap::new() };
             let lines = moved.remove(&table).unwrap_or_default();
@@ -154,6 +177,92 @@
         std::mem::take(&mut self.chores)
     }
 
+    /// Keeps so many versions of each table.
+    pub fn keep_versions(&mut self, kept: usize) {
+        self.kept = kept;
+    }
+
+    /// The versions kept of a table, oldest first.
+    pub fn versions(&self, table: u16) -> Option<&Versions> {
+        self.tables.get(usize::from(table)).map(|held| &held.versions)
+    }
+
+    /// The version that a table is frozen at.
+    pub fn frozen_at(&self, table: u16) -> Option<u64> {
+        self.tables.get(usize::from(table))?.frozen.as_ref().map(|(version, _)| *version)
+    }
+
+    pub fn any_frozen(&self) -> bool {
+        self.tables.iter().any(|held| held.frozen.is_some())
+    }
+
+    /// Which servers are cold now: frozen tables give them no more than the decisions do.
+    pub fn spare(&mut self, cold: BTreeSet<Address>) {
+        self.cold = cold;
+    }
+
+    /// Freezes a table at an old version. Returns the version that brings it.
+    pub fn roll_back(&mut self, table: u16, version: u64, now: f64) -> Result<u64, Refusal> {
+        let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
+        let lines = held.versions.find(version).ok_or(Refusal::NoVersion)?.lines.clone();
+        if lines.is_empty() {
+            return Err(Refusal::Empty);
+        }
+        held.frozen = Some((version, lines));
+        Ok(self.lay(table, now))
+    }
+
+    /// Lets a frozen table follow the decisions again. Returns the version that brings it.
+    pub fn release(&mut self, table: u16, now: f64) -> Result<u64, Refusal> {
+        let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
+        held.frozen.take().ok_or(Refusal::NotFrozen)?;
+        Ok(self.lay(table, now))
+    }
+
+    /// What may be used of a table: the decisions' lines, or those it is frozen at; none that is withdrawn.
+    fn usable(&self, table: u16) -> Index {
+        let held = &self.tables[usize::from(table)];
+        let open = held.lines.iter().filter(|(server, _)| !self.withdrawn.contains(server));
+        let own: Lines = open.map(|(server, weight)| (*server, *weight)).collect();
+        Index::of(match &held.frozen {
+            Some((_, old)) => frozen(old, &own, |server| self.cold.contains(server)),
+            None => own,
+        })
+    }
+
+    /// Lays a table anew outside of the decisions' orders, as a version of its own; what moves is under
+    /// way to its users like any change.
+    fn lay(&mut self, table: u16, now: f64) -> u64 {
+        let index = self.usable(table);
+        let held = &mut self.tables[usize::from(table)];
+        let weights = |index: &Index| -> Lines {
+            index.lines().iter().map(|line| (line.server, line.weight)).collect()
+        };
+        let (before, after) = (weights(&held.index), weights(&index));
+        let servers: BTreeSet<Address> = before.keys().chain(after.keys()).copied().collect();
+        let weight = |lines: &Lines, server: &Address| lines.get(server).copied().unwrap_or(0.0);
+        let moved = servers.iter().map(|server| (*server, weight(&before, server), weight(&after, server)));
+        let moved: Vec<_> = moved.filter(|(_, before, after)| before != after).collect();
+        self.version += 1;
+        held.index = index;
+        held.version = self.version;
+        held.versions.keep(Kept { version: self.version, at: now, lines: after }, self.kept);
+        for asker in &held.users {
+            self.pull.order(*asker, moved.len() as f64, None, self.version, now);
+        }
+        let (version, round, news) = (self.version, 0, News::default());
+        self.history.push(Change {
+            version,
+            at: now,
+            round,
+            news,
+            table,
+            lines: moved,
+            levels: BTreeMap::new(),
+        });
+        version
+    }
+
     /// An answer built from what is held now goes out to an asker.
     pub fn hand_out(&mut self, asker: u16, class: u16, now: f64) {
         self.pull.hand_out(asker, class, self.version, now);
--- a/tables/tests/tables.rs
+++ b/tables/tests/tables.rs
@@ -2,7 +2,7 @@
 //! every answer that was handed out.
 
 use oatlever::round::{Address, Writer};
-use oatlever_tables::{Index, Kind, News, Pull, Spread, Tables};
+use oatlever_tables::{frozen, Index, Kind, Lines, News, Pull, Refusal, Spread, Tables};
 use quickcheck::{quickcheck, Arbitrary, Gen, TestResult};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -158,6 +158,23 @@
         TestResult::passed()
     }
 
+    /// Whatever a table is frozen at: no server that the decisions dropped, no cold one with a greater part
+    /// than theirs, and never without a line while they have one.
+    fn frozen_tables_keep_the_rules(old: Vec<(u8, u8)>, own: Vec<(u8, u8)>, cold: Vec<u8>) -> bool {
+        let lines = |given: &[(u8, u8)]| -> Lines {
+            given.iter().map(|(n, weight)| (server(*n), f64::from(*weight) + 1.0)).collect()
+        };
+        let (old, own) = (lines(&old), lines(&own));
+        let cold: BTreeSet<Address> = cold.iter().map(|n| server(*n)).collect();
+        let laid = frozen(&old, &own, |server| cold.contains(server));
+        let part = |lines: &Lines, server: &Address| lines.get(server).map_or(0.0, |w| w / lines.values().sum::<f64>());
+        let kept = |server: &Address| own.contains_key(server);
+        let spared = |server: &Address| !cold.contains(server) || part(&laid, server) <= part(&own, server) + 1e-9;
+        laid.is_empty() == own.is_empty()
+            && laid.keys().all(|server| kept(server) && spared(server))
+            && laid.values().all(|weight| *weight > 0.0)
+    }
+
     fn draws_hold_each_line_once_and_spread_by_weight(weights: Vec<u8>, most: u8) -> TestResult {
         let lines: BTreeMap<Address, f64> =
             weights.iter().take(200).enumerate().map(|(n, w)| (Address { host: [10, 0, 0, n as u8], port: 1 }, f64::from(*w))).collect();
@@ -245,3 +262,38 @@
     pull.acknowledge(1, 2);
     assert_eq!((told(&mut pull), pull.waiting()), (vec![(1, 2)], 0.0));
 }
+
+/// A rollback while a newer change is under way: what is held in the end is the old version, under a new
+/// number, and the decisions' orders do not show until it is released. Drains do.
+#[test]
+fn a_table_goes_back_stays_and_is_released() {
+    let mut tables = Tables::new(1, 1, Pull::new(&[Kind::Stream], 1, HOLD, 0.0), 10);
+    let order = |tables: &mut Tables, round: u64, weights: &[(u8, f64)]| {
+        tables.open(round as f64, round, News::default());
+        weights.iter().for_each(|(n, weight)| tables.weigh(0, server(*n), *weight));
+        tables.bind(0, 0);
+        tables.mark(round, false);
+        tables.close();
+    };
+    let held = |tables: &Tables| -> Vec<(Address, f64)> { lines(tables, 0).unwrap() };
+    order(&mut tables, 1, &[(1, 1.0), (2, 3.0)]);
+    order(&mut tables, 2, &[(2, 1.0), (3, 2.0)]);
+    assert_eq!(tables.roll_back(0, 7, 2.5), Err(Refusal::NoVersion));
+    assert_eq!(tables.roll_back(9, 1, 2.5), Err(Refusal::NoTable));
+    assert_eq!(tables.release(0, 2.5), Err(Refusal::NotFrozen));
+    assert_eq!(tables.roll_back(0, 1, 2.5), Ok(3));
+    assert_eq!((held(&tables), tables.frozen_at(0)), (vec![(server(1), 0.25), (server(2), 0.75)], Some(1)));
+    assert_eq!(tables.pull.receipts(1e9).len(), 0, "nothing was acknowledged yet");
+    order(&mut tables, 3, &[(1, 5.0)]);
+    assert_eq!(held(&tables), [(server(1), 0.25), (server(2), 0.75)]);
+    // A drain goes through, and a server that is cold now gets no more than the decisions give it.
+    order(&mut tables, 4, &[(1, 0.0)]);
+    assert_eq!(held(&tables), [(server(2), 1.0)]);
+    order(&mut tables, 5, &[(1, 1.0), (3, 8.0)]);
+    tables.spare([server(1)].into());
+    order(&mut tables, 6, &[]);
+    assert_eq!(held(&tables), [(server(1), 0.1), (server(2), 0.9)]);
+    let version = tables.release(0, 7.0).unwrap();
+    assert_eq!(held(&tables), [(server(1), 1.0), (server(2), 1.0), (server(3), 8.0)]);
+    assert_eq!(tables.versions(0).unwrap().all().next_back().unwrap().version, version);
+}
