--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod front;
+mod streams;
 mod structures;
 
 use clap::{Parser, Subcommand};
@@ -23,6 +24,8 @@
     },
     /// A round of decisions and what tables, books and memory cost, by size.
     Rounds,
+    /// From an order to the last ACK on xDS streams, and bytes a change, by variant and number.
+    Streams,
     /// Our structures beside plain ones.
     Structures,
 }
@@ -31,6 +34,7 @@
     match Arguments::parse().what {
         What::Dns { seconds } => front::measure(seconds),
         What::Rounds => fleet::measure(),
+        What::Streams => streams::measure(),
         What::Structures => structures::measure(),
     }
 }
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -9,11 +9,10 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use oatlever_xds::grpc::{framed, Reader, Status};
-use oatlever_xds::methods;
+use oatlever_xds::{methods, Local};
 use prost::Message;
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
-use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,18 +33,6 @@
 /// Bytes of the largest message read.
 const MOST: usize = 16 << 20;
 
-#[derive(Clone)]
-struct Local(Rc<LocalExecutor<'static>>);
-
-impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
-    fn execute(&self, work: F) {
-        let work = async move {
-            work.await;
-        };
-        self.0.spawn(work).detach();
-    }
-}
-
 type Sender = async_channel::Sender<Bytes>;
 
 /// Calls a method with a first message: further ones go in by the sender, answers come out of the reader. Dropping the sender ends it.
--- a/xds/src/lib.rs
+++ b/xds/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use load::{Load, Met};
 pub use resources::{Class, Library, Place};
-pub use server::{serve, Desk, Limits, Shared};
+pub use server::{serve, Desk, Limits, Local, Shared};
 
 /// Paths of the gRPC methods served.
 pub mod methods {
--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -526,9 +526,9 @@
     answer(Some(Box::pin(first.chain(last))))
 }
 
-/// Spawns what HTTP/2 needs on the pilot's one executor.
+/// Spawns what HTTP/2 needs on an executor of one thread.
 #[derive(Clone)]
-struct Local(Rc<LocalExecutor<'static>>);
+pub struct Local(pub Rc<LocalExecutor<'static>>);
 
 impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
     fn execute(&self, work: F) {
--- a/xds/tests/streams.rs
+++ b/xds/tests/streams.rs
@@ -9,7 +9,7 @@
 use oatlever::round::{Address, Writer};
 use oatlever_tables::{Kind as AskerKind, News, Pull, Tables, View};
 use oatlever_xds::grpc::{framed, Code, Reader};
-use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Shared};
+use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Local, Shared};
 use prost::Message;
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
@@ -152,15 +152,6 @@
     }));
 }
 
-#[derive(Clone)]
-struct Local(Rc<LocalExecutor<'static>>);
-
-impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
-    fn execute(&self, work: F) {
-        self.0.spawn(async move { drop(work.await) }).detach();
-    }
-}
-
 struct Call {
     sender: async_channel::Sender<Bytes>,
     reader: Reader<Incoming>,
