Ask streams at random in tests, and answer SRV and A questions by one path

A property with requests of any nonce, names and refusals, beside the exhaustive walk: one response of a kind under way at most, and all comes to rest. The DNS front looked up who asks and what it holds twice, once for each kind of question.

--- a/dns/src/front.rs
+++ b/dns/src/front.rs
@@ -1,7 +1,7 @@
 //! One question, one answer.
 
 use crate::names::{Names, What};
-use crate::prepared::{question, Addresses, Prepared};
+use crate::prepared::{question, Addresses, Head, Prepared};
 use hickory_proto::op::{Edns, Message, MessageType, Metadata, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{ClientSubnet, EdnsCode, EdnsOption};
 use hickory_proto::rr::rdata::{A, HINFO, NS, SOA, SRV};
@@ -63,7 +63,7 @@
     trusted: Prefixes,
     lifetime: u32,
     udp_bytes: u16,
-    addresses: usize,
+    most_addresses: usize,
     own: Ipv4Addr,
     limits: Limits,
     cookies: Cookies,
@@ -111,7 +111,7 @@
             trusted,
             lifetime: settings.dns.lifetime,
             udp_bytes: settings.dns.udp_bytes,
-            addresses: settings.dns.addresses,
+            most_addresses: settings.dns.addresses,
             own: settings.dns.address,
             limits: Limits::new(
                 limits.answers_per_second,
@@ -230,54 +230,32 @@
             return Ok(None);
         }
         match (what, kind) {
-            (What::Service { class, zone }, RecordType::SRV) => {
+            (What::Service { class, zone }, RecordType::SRV)
+            | (What::Addresses { class, zone }, RecordType::A) => {
                 let Some(asker) = self.asker(reply, &client, zone) else { return Ok(None) };
-                let scope = self.scope(&client);
-                reply.subnet(&client, scope);
-                let Some(view) = desk.asks(asker, class, now) else {
-                    reply.fail(ResponseCode::ServFail);
+                reply.subnet(&client, self.scope(&client));
+                let Some(question) = question(packet) else {
+                    reply.fail(ResponseCode::FormErr);
                     return Ok(None);
                 };
-                if !view.index.is_empty() {
-                    let (names, lifetime) = (&self.names, self.lifetime);
-                    let key = (view.table, view.version, query.name());
-                    let Some(question) = question(packet) else {
-                        reply.fail(ResponseCode::FormErr);
-                        return Ok(None);
-                    };
-                    let edns = reply.edns.as_ref().map(Record::from);
-                    let records = || services(names, query.name(), lifetime, view.index);
-                    let head = (&reply.metadata, question, edns.as_ref());
-                    let made = self.prepared.message(key, head, most, records)?;
-                    reply.metadata.truncation = made.is_none();
-                    return Ok(made);
-                }
-                self.no_data(reply, desk.version())?;
-            }
-            (What::Addresses { class, zone }, RecordType::A) => {
-                let Some(asker) = self.asker(reply, &client, zone) else { return Ok(None) };
-                let scope = self.scope(&client);
-                reply.subnet(&client, scope);
                 let Some(view) = desk.asks(asker, class, now) else {
                     reply.fail(ResponseCode::ServFail);
                     return Ok(None);
                 };
-                if !view.index.is_empty() {
-                    let Some(question) = question(packet) else {
-                        reply.fail(ResponseCode::FormErr);
-                        return Ok(None);
-                    };
-                    let edns = reply.edns.as_ref().map(Record::from);
-                    let head = (&reply.metadata, question, edns.as_ref());
-                    let room = self.made.room(head, most)?.max(1);
-                    let chance = &mut self.chance;
-                    let spread = self.spreads.entry((view.table, class));
-                    let spread = spread.or_insert_with(|| Spread::from(chance.f64()));
-                    let drawn = view.index.draw(self.addresses.min(room), spread.step(), || chance.f64());
-                    let hosts: Vec<Ipv4Addr> = drawn.iter().map(|line| line.server.host.into()).collect();
-                    return self.made.message(head, &hosts).map(Some);
+                if view.index.is_empty() {
+                    return self.no_data(reply, desk.version()).map(|()| None);
+                }
+                let edns = reply.edns.as_ref().map(Record::from);
+                let head = (&reply.metadata, question, edns.as_ref());
+                if kind == RecordType::A {
+                    return self.addresses(head, class, view, most).map(Some);
                 }
-                self.no_data(reply, desk.version())?;
+                let key = (view.table, view.version, query.name());
+                let (names, lifetime) = (&self.names, self.lifetime);
+                let records = || services(names, query.name(), lifetime, view.index);
+                let made = self.prepared.message(key, head, most, records)?;
+                reply.metadata.truncation = made.is_none();
+                return Ok(made);
             }
             (What::Node(host), _) if !desk.knows(host) => self.no_name(reply, desk.version())?,
             (What::Node(host), RecordType::A) => {
@@ -298,6 +276,16 @@
         Ok(None)
     }
 
+    /// An answer of some servers' addresses, the first drawn so that those who keep one spread by weight.
+    fn addresses(&mut self, head: Head, class: u16, view: View, most: usize) -> Result<Vec<u8>, ProtoError> {
+        let room = self.made.room(head, most)?.max(1);
+        let chance = &mut self.chance;
+        let spread = self.spreads.entry((view.table, class)).or_insert_with(|| Spread::from(chance.f64()));
+        let drawn = view.index.draw(self.most_addresses.min(room), spread.step(), || chance.f64());
+        let hosts: Vec<Ipv4Addr> = drawn.iter().map(|line| line.server.host.into()).collect();
+        self.made.message(head, &hosts)
+    }
+
     /// RFC 7871: an address stated by a trusted resolver stands for the source.
     fn client(&self, edns: Option<&Edns>, source: Option<Ipv4Addr>) -> Client {
         let stated = edns.and_then(|edns| match edns.option(EdnsCode::Subnet) {
--- a/xds/tests/session.rs
+++ b/xds/tests/session.rs
@@ -1,6 +1,7 @@
 //! All ways that requests, pushes, changes, refusals and broken streams can cross, up to a bound.
 
 use oatlever_xds::session::{Heard, Kind, Push, Request, Session, Source, Variant};
+use quickcheck::{quickcheck, Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
 const NAMES: [&str; 2] = ["search", "reserve"];
@@ -264,6 +265,63 @@
     assert!(states > 10_000, "{states} states");
 }
 
+/// A request by somebody who keeps to nothing: any nonce, any names, refusing what it was never sent.
+#[derive(Clone, Debug)]
+struct Wild(Kind, Request);
+
+impl Arbitrary for Wild {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kinds = [Kind::Cluster, Kind::Endpoints, Kind::Listener, Kind::Route];
+        let names = ["search", "reserve", "nothing", "*", ""];
+        let some = |g: &mut Gen| -> Vec<String> {
+            (0..u8::arbitrary(g) % 4).map(|_| g.choose(&names).unwrap().to_string()).collect()
+        };
+        let nonce = g.choose(&["", "1", "2", "3", "7", "x"]).unwrap().to_string();
+        let error = bool::arbitrary(g).then(|| "no".to_string());
+        let holds = some(g).into_iter().map(|name| (name, u64::arbitrary(g))).collect();
+        let request = Request { nonce, names: some(g), leave: some(g), holds, error };
+        Wild(*g.choose(&kinds).unwrap(), request)
+    }
+}
+
+quickcheck! {
+    /// Whatever comes, one response of a kind is under way at most, none is repeated without an answer, and
+    /// once everything is answered nothing more is sent until something changes.
+    fn nothing_that_is_asked_does_harm(delta: bool, asked: Vec<(Wild, bool)>) -> bool {
+        let mut session = Session::new(if delta { Variant::Delta } else { Variant::State });
+        let mut past = vec![[1, 1]];
+        let mut open: BTreeMap<Kind, Push> = BTreeMap::new();
+        for (Wild(kind, request), change) in asked {
+            if change {
+                past.push([past.len() as u64, 1]);
+            }
+            let answered = open.get(&kind).is_some_and(|push| push.nonce == request.nonce);
+            let heard = session.hear(kind, request);
+            if matches!(heard, Heard::Acknowledged | Heard::Refused { .. }) != answered {
+                return false;
+            }
+            if answered {
+                open.remove(&kind);
+            }
+            while let Some(push) = session.next(&Now(&past), 0.0) {
+                if open.insert(push.kind, push).is_some() {
+                    return false;
+                }
+            }
+        }
+        for _ in 0..40 {
+            let Some((kind, push)) = open.pop_first() else { break };
+            // State of the world: taken with the same names as before can't be said here, so by refusing
+            // nothing and naming none it gives them up; either way it comes to rest.
+            session.hear(kind, Request { nonce: push.nonce, ..Request::default() });
+            while let Some(push) = session.next(&Now(&past), 0.0) {
+                open.insert(push.kind, push);
+            }
+        }
+        open.is_empty() && session.next(&Now(&past), 0.0).is_none()
+    }
+}
+
 fn subscribe(names: &[&str]) -> Request {
     Request { names: names.iter().map(|name| name.to_string()).collect(), ..Request::default() }
 }
