Keep a proxy that refuses its first tables on its stream

It holds nothing, so patience cut it off as one that never asks for lines; it would dial, refuse and be cut off for ever. One that has answered stays now, one that never asks is cut.

--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -282,12 +282,11 @@
     fn is_overdue(&self, stream: &Stream) -> bool {
         let now = self.desk.now();
         let late = |since: f64| now - since > self.limits.patience;
-        let sight = Sight { shared: self, asker: stream.asker };
         let session = stream.session.borrow();
         let bound = self.desk.look(stream.asker, 0, |view| view.is_some());
-        // One that never takes any lines keeps those it came with.
-        session.unanswered_since().is_some_and(late)
-            || bound && session.held(&sight) == 0 && late(stream.since)
+        // One that never asks for lines keeps those it came with. One that refuses them has answered: cut
+        // off, it would dial again, refuse again, and so on.
+        session.unanswered_since().is_some_and(late) || bound && !session.has_answered() && late(stream.since)
     }
 }
 
--- a/xds/src/session.rs
+++ b/xds/src/session.rs
@@ -312,6 +312,12 @@
         held.min().unwrap_or(0)
     }
 
+    /// Whether the proxy has taken or refused lines, or came with ones that still hold.
+    pub fn has_answered(&self) -> bool {
+        let lines = &self.watches[Kind::Endpoints as usize];
+        !lines.taken.is_empty() || !lines.last.is_empty() && lines.flight.is_none()
+    }
+
     /// When the oldest response still unanswered was made, s.
     pub fn unanswered_since(&self) -> Option<f64> {
         let since = self.watches.iter().filter_map(|watch| watch.flight.as_ref());
--- a/xds/tests/streams.rs
+++ b/xds/tests/streams.rs
@@ -322,6 +322,9 @@
         Timer::after(Duration::from_millis(50)).await;
         assert_eq!(play.shared.counts.borrow().pushes, pushes, "the same was sent again");
         assert!(book.0.tables.borrow_mut().receipts(1e9).is_empty() && book.0.told.borrow().is_empty());
+        // It has answered, so patience does not cut it off: it would only dial and refuse again.
+        Timer::after(Duration::from_secs_f64(2.0 * PATIENCE)).await;
+        assert_eq!(*book.0.up.borrow(), [(0, true)]);
         book.order(|tables| tables.weigh(0, server(1), 1.0));
         let next = call.take(&["search"]).await;
         assert_eq!(lines(&decode(&next)).len(), 2);
@@ -392,6 +395,17 @@
     });
 }
 
+/// One that holds a stream and never asks for lines would keep an old table past any drain.
+#[test]
+fn a_proxy_that_never_asks_for_lines_is_cut_off() {
+    play(|play| async move {
+        let mut call = Call::discover(&play, "relay-0", &url("cluster.v3.Cluster"), &[]).await;
+        call.take(&[]).await;
+        assert!(call.ended().await);
+        play.book.until("the cut", |state| *state.up.borrow() == [(0, true), (0, false)]).await;
+    });
+}
+
 /// A node that dials again while its old stream hangs half open takes its place.
 #[test]
 fn a_newer_stream_of_a_node_replaces_the_older() {
