--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -60,16 +60,12 @@
     })?;
     oatlever_settings::read(&text).map_err(|mistakes| {
         for mistake in mistakes {
-            eprintln!("oatlever: {}{mistake}", place(path));
+            eprintln!("oatlever: {}: {mistake}", path.display());
         }
         ExitCode::from(WRONG)
     })
 }
 
-fn place(path: &Path) -> String {
-    format!("{}: ", path.display())
-}
-
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Schema => {
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::{control, status};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_lock::Semaphore;
 use async_signal::{Signal, Signals};
 use event_listener::Event;
@@ -356,8 +356,3 @@
         end
     }))
 }
-
-/// Keeps the reactor's type in view: listeners become asynchronous here and nowhere else in the pilot.
-pub fn listener(socket: TcpListener) -> io::Result<Async<TcpListener>> {
-    Async::<TcpListener>::try_from(socket)
-}
--- a/pilot/src/status.rs
+++ b/pilot/src/status.rs
@@ -1,9 +1,9 @@
 //! The HTTP listener: `/metrics`, `/status` and `/changes`, to read only.
 
 use crate::metrics;
-use crate::serve::{listener, Pilot};
+use crate::serve::Pilot;
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
@@ -30,7 +30,7 @@
     pilot: Rc<Pilot>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
-    let socket = listener(socket)?;
+    let socket = Async::<TcpListener>::try_from(socket)?;
     let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = socket.accept().await else {
--- a/reports/src/counters.rs
+++ b/reports/src/counters.rs
@@ -49,9 +49,4 @@
         });
         Some(Gain { span: at - before, samples: gained.collect() })
     }
-
-    /// The target is another one now.
-    pub fn forget(&mut self) {
-        self.last = None;
-    }
 }
--- a/xds/src/load.rs
+++ b/xds/src/load.rs
@@ -25,7 +25,6 @@
     pub failed: f64,
     /// Seconds that the answers took together.
     pub seconds: f64,
-    pub in_flight: f64,
 }
 
 pub fn seconds(duration: Option<&Duration>) -> f64 {
@@ -57,8 +56,7 @@
         }
         _ => 0.0,
     };
-    let in_flight = stats.total_requests_in_progress as f64;
-    Some(Met { server: server(stats)?, answered, failed, seconds, in_flight })
+    Some(Met { server: server(stats)?, answered, failed, seconds })
 }
 
 /// Reads a cluster's report; none where it covers no time, as nothing was measured then.
