Forget counters of servers that are read no more, and bound commands' connections

A pilot that lives long meets ever new server addresses; each left its counters and its in-flight figure behind. Targets that are read no more are forgotten now. The status and control listeners had an accept loop each, the second without a limit on connections or their life; both use one bounded page server.

--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -1,18 +1,16 @@
 //! Commands to a running pilot: HTTP over a Unix socket that only its own user may use.
 
+use crate::pages::{self, Page};
 use crate::serve::Pilot;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use clap::Subcommand;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use oatlever_tables::{Kept, Refusal};
 use serde_json::{json, Value};
-use smol_hyper::rt::FuturesIo;
 use std::collections::BTreeSet;
-use std::convert::Infallible;
 use std::io::{self, Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -88,26 +86,12 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let socket = Async::<UnixListener>::try_from(socket)?;
-    loop {
-        let Ok((stream, _)) = socket.accept().await else {
-            Timer::after(Duration::from_millis(10)).await;
-            continue;
-        };
-        let pilot = pilot.clone();
-        let talk = async move {
-            let service = service_fn(|request| {
-                let response = page(&pilot, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // However it ends, only this caller is concerned.
-            let io = FuturesIo::new(stream);
-            let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
-        };
-        executor.spawn(talk).detach();
-    }
+    let accept = async || socket.accept().await.map(|(stream, _)| stream);
+    pages::serve(accept, move |request| page(&pilot, request), executor).await;
+    Ok(())
 }
 
-fn page(pilot: &Pilot, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn page(pilot: &Pilot, request: &Request<Incoming>) -> Page {
     let path = request.uri().path().trim_start_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
     let answer = command(request.method(), &parts).ok_or("no such command".to_string());
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Forgets what targets gave that are read no more: server addresses come and go for as long as a pilot
+    /// lives, and each would leave its counters behind.
+    pub fn read_only(&mut self, targets: &BTreeMap<Target, oatlever_fetch::Place>) {
+        self.counters.retain(|target, _| targets.contains_key(target));
+        self.sums.in_flight.retain(|server, _| targets.contains_key(&Target::Server(*server)));
+    }
+
     pub fn checked(&mut self, server: Address, fine: bool) {
         self.checking.remove(&server);
         self.round.health.push(HealthAnswer { server, fine });
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -4,6 +4,7 @@
 mod core;
 mod logs;
 mod metrics;
+mod pages;
 mod serve;
 mod status;
 mod wakes;
--- /dev/null
+++ b/pilot/src/pages.rs
@@ -0,0 +1,61 @@
+//! Pages over HTTP/1 for people, collectors and commands: so many connections at once, each for so long.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::{future, AsyncRead, AsyncWrite};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol_hyper::rt::FuturesIo;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections at once on one listener; pages are for people and collectors, a few of each.
+const CONNECTIONS: usize = 64;
+/// s; a connection lives no longer.
+const LIFE: f64 = 10.0;
+/// s; after an accept that failed, as when descriptors ran out.
+const PAUSE: f64 = 0.01;
+
+pub type Page = Response<Full<Bytes>>;
+
+/// Serves pages for ever on what `accept` brings.
+pub async fn serve<T: AsyncRead + AsyncWrite + Unpin + 'static>(
+    accept: impl AsyncFn() -> io::Result<T>,
+    page: impl Fn(&Request<Incoming>) -> Page + 'static,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    let (open, page) = (Rc::new(Cell::new(0)), Rc::new(page));
+    loop {
+        let Ok(stream) = accept().await else {
+            Timer::after(Duration::from_secs_f64(PAUSE)).await;
+            continue;
+        };
+        if open.get() >= CONNECTIONS {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (page, open) = (page.clone(), open.clone());
+        let talk = async move {
+            let service = service_fn(|request| {
+                let response = page(&request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = async {
+                let io = FuturesIo::new(stream);
+                // However it ends, only this reader is concerned.
+                let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
+            };
+            let late = async {
+                Timer::after(Duration::from_secs_f64(LIFE)).await;
+            };
+            future::or(served, late).await;
+            open.set(open.get() - 1);
+        };
+        executor.spawn(talk).detach();
+    }
+}
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -135,7 +135,7 @@
     }
 
     fn targets(&self) -> BTreeMap<Target, fetch::Place> {
-        let core = self.0.core.borrow();
+        let mut core = self.0.core.borrow_mut();
         let askers = core.settings.askers.iter().enumerate().filter_map(|(place, asker)| {
             let place_to_read = asker.metrics.as_ref().and_then(|url| fetch::Place::parse(url))?;
             Some((Target::Asker(place as u16), place_to_read))
@@ -147,7 +147,9 @@
             let host = SocketAddr::V4(core.book.known(&server)?.metrics?);
             Some((Target::Server(server), fetch::Place { host, path: "/metrics".to_string() }))
         });
-        askers.chain(servers).collect()
+        let targets = askers.chain(servers).collect();
+        core.read_only(&targets);
+        targets
     }
 
     fn reading(&self, target: Target, asked: Instant, text: Result<Text, String>) {
--- a/pilot/src/status.rs
+++ b/pilot/src/status.rs
@@ -1,27 +1,19 @@
 //! The HTTP listener: `/metrics`, `/status` and `/changes`, to read only.
 
 use crate::metrics;
+use crate::pages::{self, Page};
 use crate::serve::Pilot;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use oatlever_tables::Change;
 use serde_json::{json, Value};
-use smol_hyper::rt::FuturesIo;
-use std::cell::Cell;
-use std::convert::Infallible;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
-/// Connections at once; pages are for people and collectors, a few of each.
-const CONNECTIONS: usize = 64;
-/// s; a connection lives no longer.
-const LIFE: f64 = 10.0;
 /// Changes on a page where none other number is asked for.
 const CHANGES: usize = 100;
 
@@ -31,38 +23,12 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let socket = Async::<TcpListener>::try_from(socket)?;
-    let open = Rc::new(Cell::new(0));
-    loop {
-        let Ok((stream, _)) = socket.accept().await else {
-            Timer::after(Duration::from_millis(10)).await;
-            continue;
-        };
-        if open.get() >= CONNECTIONS {
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (pilot, open) = (pilot.clone(), open.clone());
-        let talk = async move {
-            let service = service_fn(|request| {
-                let response = page(&pilot, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served = async {
-                let io = FuturesIo::new(stream);
-                // However it ends, only this reader is concerned.
-                let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
-            };
-            let late = async {
-                Timer::after(Duration::from_secs_f64(LIFE)).await;
-            };
-            futures_lite::future::or(served, late).await;
-            open.set(open.get() - 1);
-        };
-        executor.spawn(talk).detach();
-    }
+    let accept = async || socket.accept().await.map(|(stream, _)| stream);
+    pages::serve(accept, move |request| page(&pilot, request), executor).await;
+    Ok(())
 }
 
-fn page(pilot: &Pilot, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn page(pilot: &Pilot, request: &Request<Incoming>) -> Page {
     let (status, kind, text) = match (request.method(), request.uri().path()) {
         (&Method::GET, "/metrics") => match metrics::text(pilot) {
             Ok(text) => (StatusCode::OK, "application/openmetrics-text; version=1.0.0; charset=utf-8", text),
