Serve xDS over TLS with identities, and carry digests in versions

Streams were plain, and any proxy could call itself any node. A package identity decides which certificate may be which node or zone; keys and certificates come from files and are taken up anew without touching open streams; a stream ends when its certificate runs out; a proxy that claims another's zone is refused. Versions carry digests: of a resource, of all held after a change, of a state of the world, so that a proxy notices a change that it missed. The stand-in relay checks them and starts anew where they disagree.

--- a/benches/src/streams.rs
+++ b/benches/src/streams.rs
@@ -8,6 +8,7 @@
 use http_body_util::StreamBody;
 use hyper::body::{Bytes, Frame};
 use oatlever::round::{Address, Writer};
+use oatlever_identity::Peer;
 use oatlever_tables::{Kind, News, Pull, Tables, View};
 use oatlever_xds::grpc::{framed, Reader};
 use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Local, Shared};
@@ -39,8 +40,11 @@
     fn now(&self) -> f64 {
         self.0.began.elapsed().as_secs_f64()
     }
-    fn asker(&self, node: &str) -> Option<u16> {
-        node.parse().ok()
+    fn admit(&self, node: &str, _: Option<&str>, _: Option<&Peer>) -> Result<u16, String> {
+        node.parse().map_err(|_| format!("{node:?} is no number"))
+    }
+    fn unix(&self) -> f64 {
+        0.0
     }
     fn arrive(&self, asker: u16) {
         let mut tables = self.0.tables.borrow_mut();
@@ -139,7 +143,7 @@
     let classes = CLASSES.iter().map(|name| Class { name: name.to_string(), once: false }).collect();
     let limits = Limits { patience: 30.0, most_bytes: 1 << 20, connections: 4096, report_period: 1.0 };
     let changed = Rc::new(Event::new());
-    let shared = Shared::new(Pilot(book.clone()), classes, limits, changed.clone(), 1);
+    let shared = Shared::new(Pilot(book.clone()), classes, limits, changed.clone(), 1, None);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a socket");
     rustix::net::listen(&listener, 4096).expect("a longer queue");
     let host = listener.local_addr().expect("an address");
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -78,6 +78,9 @@
         count(r, "xds_acknowledged", "Responses taken", met.acknowledged);
         count(r, "xds_refused", "Responses refused", met.refused);
         count(r, "xds_stale", "Requests that answer an older response", met.stale);
+        count(r, "xds_handshakes_failed", "Handshakes that came to nothing", met.handshakes_failed);
+        count(r, "xds_keys_renewed", "Keys taken up from changed files", met.keys_renewed);
+        count(r, "xds_keys_left", "Changed keys that could not be used", met.keys_left);
         count(r, "xds_loads", "Load reports", met.loads);
         let ended = met.ended.iter().map(|(why, n)| (why.to_string(), *n));
         counts(r, ("xds_ended", "Streams that ended", "why"), ended);
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -11,16 +11,17 @@
 use oatlever::round::Address;
 use oatlever_dns::{Front, Gate, Handler, TcpLimits, Via};
 use oatlever_fetch as fetch;
+use oatlever_identity::{Files, Grant, Grants, Keys, Node, Peer, To};
 use oatlever_reports::{Target, Text};
 use oatlever_roster::{Cache, Moment, Source};
-use oatlever_settings::Settings;
+use oatlever_settings::{Settings, Tls, Xds};
 use oatlever_tables::View;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// s; at the end, answers under way get so long. Well under what service managers wait before they kill.
 const LAST_ANSWERS: f64 = 1.0;
@@ -71,58 +72,88 @@
 }
 
 /// What streams are pushed, and what their proxies tell.
-pub struct StreamDesk(Rc<Pilot>);
+pub struct StreamDesk {
+    pilot: Rc<Pilot>,
+    grants: Grants,
+    /// By node.
+    askers: BTreeMap<String, u16>,
+}
+
+impl StreamDesk {
+    fn new(pilot: Rc<Pilot>, settings: &Settings, xds: &Xds) -> Self {
+        let to = |grant: &oatlever_settings::Grant| match (&grant.node, &grant.zone) {
+            (Some(node), _) => Some(To::Node(node.clone())),
+            (_, zone) => zone.clone().map(To::Zone),
+        };
+        let grants = xds
+            .grants
+            .iter()
+            .filter_map(|grant| Some(Grant { identity: grant.identity.clone(), to: to(grant)? }));
+        let nodes = settings.askers.iter().enumerate();
+        let nodes = nodes.filter_map(|(place, asker)| Some((asker.node.clone()?, place as u16)));
+        StreamDesk { pilot, grants: Grants::new(&grants.collect::<Vec<_>>()), askers: nodes.collect() }
+    }
+}
 
 impl oatlever_xds::Desk for StreamDesk {
     fn now(&self) -> f64 {
-        self.0.core.borrow().now()
+        self.pilot.core.borrow().now()
+    }
+
+    fn admit(&self, node: &str, zone: Option<&str>, peer: Option<&Peer>) -> Result<u16, String> {
+        let asker = *self.askers.get(node).ok_or_else(|| format!("no asker has the node {node:?}"))?;
+        let core = self.pilot.core.borrow();
+        let known = Node { name: node, zone: &core.settings.askers[usize::from(asker)].zone };
+        let admitted = self.grants.admit(peer, known, zone, self.unix());
+        admitted.map(|()| asker).map_err(|denied| {
+            tracing::warn!(%denied, "proxy not let in");
+            denied.to_string()
+        })
     }
 
-    fn asker(&self, node: &str) -> Option<u16> {
-        let core = self.0.core.borrow();
-        let place = core.settings.askers.iter().position(|asker| asker.node.as_deref() == Some(node));
-        place.map(|place| place as u16)
+    fn unix(&self) -> f64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64())
     }
 
     fn arrive(&self, asker: u16) {
-        self.0.core.borrow_mut().hold_stream(asker, true);
-        self.0.changed.notify(usize::MAX);
-        self.0.tell();
+        self.pilot.core.borrow_mut().hold_stream(asker, true);
+        self.pilot.changed.notify(usize::MAX);
+        self.pilot.tell();
     }
 
     fn depart(&self, asker: u16) {
-        self.0.core.borrow_mut().hold_stream(asker, false);
-        self.0.changed.notify(usize::MAX);
-        self.0.tell();
+        self.pilot.core.borrow_mut().hold_stream(asker, false);
+        self.pilot.changed.notify(usize::MAX);
+        self.pilot.tell();
     }
 
     fn look<R>(&self, asker: u16, class: u16, see: impl FnOnce(Option<View>) -> R) -> R {
-        see(self.0.core.borrow().tables.held(asker, class))
+        see(self.pilot.core.borrow().tables.held(asker, class))
     }
 
     fn version(&self) -> u64 {
-        self.0.core.borrow().tables.version()
+        self.pilot.core.borrow().tables.version()
     }
 
     fn zone_of(&self, server: &Address) -> Option<String> {
-        let core = self.0.core.borrow();
+        let core = self.pilot.core.borrow();
         let zone = core.book.known(server)?.zone;
         core.settings.zones.get(usize::from(zone)).cloned()
     }
 
     fn acknowledged(&self, asker: u16, version: u64) {
-        self.0.core.borrow_mut().tables.pull.acknowledge(asker, version);
+        self.pilot.core.borrow_mut().tables.pull.acknowledge(asker, version);
     }
 
     fn refused(&self, asker: u16, version: u64, why: &str) {
-        let mut core = self.0.core.borrow_mut();
+        let mut core = self.pilot.core.borrow_mut();
         let name = &core.settings.askers[usize::from(asker)].name;
         tracing::warn!(asker = %name, version, why, "tables refused");
         core.tables.pull.refuse(asker, version);
     }
 
     fn load(&self, asker: u16, loads: Vec<oatlever_xds::Load>) {
-        self.0.core.borrow_mut().load(asker, loads);
+        self.pilot.core.borrow_mut().load(asker, loads);
     }
 }
 
@@ -208,6 +239,15 @@
     made.map_err(|e| format!("{at}: cannot listen on {host} over {over}: {e}"))
 }
 
+fn keys(tls: &Tls) -> Result<Keys, String> {
+    let files = Files {
+        certificate: tls.certificate.clone().into(),
+        key: tls.key.clone().into(),
+        authorities: tls.authorities.clone().map(Into::into),
+    };
+    Keys::load(files).map_err(|e| format!("/xds/tls: {e}"))
+}
+
 /// Runs until SIGTERM or SIGINT. Errors: what could not be started, or why it ended.
 pub fn run(settings: Settings, seed: u64) -> Result<(), String> {
     let mut sockets = Vec::new();
@@ -222,6 +262,8 @@
     for (n, host) in settings.xds.iter().flat_map(|xds| xds.listen.iter().enumerate()) {
         stream_sockets.push(bound(&format!("/xds/listen/{n}"), *host, "TCP", listen(*host))?);
     }
+    let tls = settings.xds.as_ref().and_then(|xds| xds.tls.clone());
+    let keys = tls.as_ref().map(keys).transpose()?;
     let status = settings.status.listen;
     let status = bound("/status/listen", status, "TCP", listen(status))?;
     let control = settings.control.as_ref().map(|control| control::bind(&control.socket)).transpose()?;
@@ -270,7 +312,8 @@
         let classes = settings.classes.iter().map(class).collect();
         let changed = pilot.changed.clone();
         // Another life writes other versions, whatever the seed.
-        oatlever_xds::Shared::new(StreamDesk(pilot.clone()), classes, limits, changed, fastrand::u64(..))
+        let desk = StreamDesk::new(pilot.clone(), &settings, xds);
+        oatlever_xds::Shared::new(desk, classes, limits, changed, fastrand::u64(..), keys)
     });
     *pilot.streams.borrow_mut() = streams.clone();
     let executor = Rc::new(LocalExecutor::new());
@@ -302,6 +345,15 @@
             let serve = oatlever_xds::serve(socket, shared.clone(), executor.clone());
             tasks.push(executor.spawn(async move { serve.await.unwrap_or_else(ended_streams) }));
         }
+        for (shared, tls) in streams.iter().zip(&tls) {
+            let (shared, pause) = (shared.clone(), Duration::from_secs_f64(tls.look_again));
+            tasks.push(executor.spawn(async move {
+                loop {
+                    Timer::after(pause).await;
+                    shared.renew_keys();
+                }
+            }));
+        }
         let host = status.local_addr().map(|host| host.to_string()).unwrap_or_default();
         tracing::info!(%host, "serving status");
         let page = status::serve(status, pilot.clone(), executor.clone());
--- a/settings/src/checks.rs
+++ b/settings/src/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of the parts of the settings against each other.
 
-use crate::{Mistake, Settings};
+use crate::{Grant, Mistake, Settings, Xds};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
@@ -53,6 +53,40 @@
     })
 }
 
+/// A grant that nobody can use, or a node that nobody may be, is found here rather than on a bad day.
+fn grants(s: &Settings, xds: &Xds, out: &mut Vec<Mistake>) {
+    let proven = xds.tls.as_ref().is_some_and(|tls| tls.authorities.is_some());
+    if !xds.grants.is_empty() && !proven {
+        let needed = "/xds/tls/authorities, as identities come from certificates";
+        out.push(wrong("/xds/grants".into(), format!("{} grants", xds.grants.len()), needed));
+    }
+    let node = |name: &String| s.askers.iter().any(|asker| asker.node.as_ref() == Some(name));
+    for (place, grant) in xds.grants.iter().enumerate() {
+        let at = format!("/xds/grants/{place}");
+        match (&grant.node, &grant.zone) {
+            (Some(name), None) if !node(name) => {
+                out.push(wrong(format!("{at}/node"), format!("{name:?}"), "the node of an asker"));
+            }
+            (None, Some(zone)) if s.zone(zone).is_none() => {
+                let zones = format!("one of /zones: {}", s.zones.join(", "));
+                out.push(wrong(format!("{at}/zone"), format!("{zone:?}"), zones));
+            }
+            (Some(_), None) | (None, Some(_)) => {}
+            (Some(_), Some(_)) => out.push(wrong(at, "a node and a zone", "one of them")),
+            (None, None) => out.push(wrong(at, "neither node nor zone", "one of them")),
+        }
+    }
+    for (place, asker) in s.askers.iter().enumerate().filter(|_| !xds.grants.is_empty()) {
+        let Some(name) = &asker.node else { continue };
+        let covers =
+            |grant: &Grant| grant.node.as_ref() == Some(name) || grant.zone.as_ref() == Some(&asker.zone);
+        if !xds.grants.iter().any(covers) {
+            let at = format!("/askers/{place}/node");
+            out.push(wrong(at, format!("{name:?}"), "a node that some grant in /xds/grants covers"));
+        }
+    }
+}
+
 pub fn across(s: &Settings) -> Vec<Mistake> {
     let mut out = Vec::new();
     labels_once("/zones", s.zones.iter().map(String::as_str), &mut out, "");
@@ -161,6 +195,9 @@
             out.push(wrong(format!("{at}/metrics"), format!("{url:?}"), "http://address:port/path"));
         }
     }
+    if let Some(xds) = &s.xds {
+        grants(s, xds, &mut out);
+    }
     for (n, text) in s.dns.trusted_resolvers.iter().enumerate() {
         if let Err(expected) = prefix(text) {
             out.push(wrong(format!("/dns/trusted_resolvers/{n}"), format!("{text:?}"), expected));
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -216,6 +216,48 @@
     #[serde(default = "connections")]
     #[schemars(range(min = 1, max = 1_000_000))]
     pub connections: usize,
+    /// Keys; connections are plain without.
+    #[serde(default)]
+    pub tls: Option<Tls>,
+    /// Which identity may be which node; with none, whoever can connect may be any.
+    #[serde(default)]
+    pub grants: Vec<Grant>,
+}
+
+/// Files are read at the start and looked at again and again; what changed counts for new connections.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// The pilot's certificate and those above it, PEM.
+    #[schemars(length(min = 1))]
+    pub certificate: String,
+    /// Its private key, PEM.
+    #[schemars(length(min = 1))]
+    pub key: String,
+    /// Certificates of those whose word on proxies is taken, PEM; proxies show none without.
+    #[serde(default)]
+    pub authorities: Option<String>,
+    /// s between looks at the files.
+    #[serde(default = "five")]
+    #[schemars(range(min = 0.05, max = 3600.0))]
+    pub look_again: f64,
+}
+
+fn five() -> f64 {
+    5.0
+}
+
+/// An identity and what it may be: a node, or any node of a zone.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Grant {
+    /// A URI or DNS name in the proxy's certificate; one that ends in `*` stands for all that begin like it.
+    #[schemars(length(min = 1, max = 2048))]
+    pub identity: String,
+    #[serde(default)]
+    pub node: Option<String>,
+    #[serde(default)]
+    pub zone: Option<String>,
 }
 
 fn message_bytes() -> usize {
--- a/settings/tests/settings.rs
+++ b/settings/tests/settings.rs
@@ -115,3 +115,30 @@
     assert!(schema["$schema"].as_str().unwrap().contains("json-schema.org"));
     assert!(jsonschema::validator_for(&schema).unwrap().is_valid(&right()));
 }
+
+/// Grants that could let nobody in, or leave a node that nobody may be.
+#[test]
+fn grants_name_what_there_is_and_cover_every_node() {
+    let streams = |grants: Value, tls: Value| {
+        let asker = json!({"name": "relay", "zone": "north", "node": "r1", "usual_rate": 5});
+        let xds = json!({"listen": ["127.0.0.1:7400"], "patience": 1, "grants": grants, "tls": tls});
+        let told = mistakes(&[("/askers/0", asker), ("/xds", xds)]);
+        told.into_iter().map(|mistake| mistake.at).collect::<Vec<_>>()
+    };
+    let mutual = json!({"certificate": "c", "key": "k", "authorities": "a"});
+    let zone = json!({"identity": "spiffe://shops/*", "zone": "north"});
+    assert_eq!(streams(json!([zone]), mutual.clone()), Vec::<String>::new());
+    assert_eq!(streams(json!([{"identity": "x", "node": "r1"}]), mutual.clone()), Vec::<String>::new());
+    assert_eq!(streams(json!([zone]), json!({"certificate": "c", "key": "k"})), ["/xds/grants"]);
+    let both = json!({"identity": "x", "zone": "north", "node": "r1"});
+    assert_eq!(streams(json!([both]), mutual.clone()), ["/xds/grants/0"]);
+    assert_eq!(streams(json!([zone, {"identity": "x"}]), mutual.clone()), ["/xds/grants/1"]);
+    assert_eq!(
+        streams(json!([zone, {"identity": "x", "node": "r2"}]), mutual.clone()),
+        ["/xds/grants/1/node"]
+    );
+    let south = json!([{"identity": "x", "zone": "south"}]);
+    assert_eq!(streams(south, mutual.clone()), ["/askers/0/node"]);
+    let west = streams(json!([zone, {"identity": "x", "zone": "west"}]), mutual);
+    assert_eq!(west, ["/xds/grants/1/zone"]);
+}
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -11,8 +11,11 @@
 use oatlever_xds::grpc::{framed, Reader, Status};
 use oatlever_xds::{methods, Local};
 use prost::Message;
+use siphasher::sip::SipHasher24;
 use smol_hyper::rt::FuturesIo;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::hash::Hasher;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +28,7 @@
 use xds_api::pb::envoy::service::discovery::v3 as discovery;
 use xds_api::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use xds_api::pb::google::protobuf::{Any, Duration as ProtoDuration};
+use xds_api::pb::google::rpc;
 
 const CLUSTERS: &str = "type.googleapis.com/envoy.config.cluster.v3.Cluster";
 const ENDPOINTS: &str = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
@@ -81,6 +85,18 @@
     Some((class, found.into_iter().map(|(host, weight)| (host, scaled(weight))).collect()))
 }
 
+/// The digest at the end of a version is what the relay makes of it itself, from what it holds.
+fn agrees(version: &str, parts: impl IntoIterator<Item = Vec<u8>>) -> bool {
+    let mut hasher = SipHasher24::new();
+    parts.into_iter().for_each(|part| hasher.write(&part));
+    version.rsplit('.').next() == Some(&format!("{:016x}", hasher.finish()))
+}
+
+/// What a relay says to a response whose digest is another than its own.
+fn disagreement() -> Option<rpc::Status> {
+    Some(rpc::Status { code: 3, message: "the digest does not agree".to_string(), ..Default::default() })
+}
+
 /// Follows tables for ever, dialling again whenever the stream breaks.
 pub async fn discover(asker: Rc<Asker>, world: Rc<World>) {
     loop {
@@ -111,7 +127,9 @@
             response_nonce: response.nonce,
             ..Default::default()
         };
-        if response.type_url == ENDPOINTS {
+        if !agrees(&taken.version_info, response.resources.iter().map(|written| written.value.clone())) {
+            taken.error_detail = disagreement();
+        } else if response.type_url == ENDPOINTS {
             taken.resource_names = names.clone();
             for (class, lines) in response.resources.iter().filter_map(|resource| lines(world, resource)) {
                 asker.take(world, class, lines);
@@ -142,17 +160,33 @@
     let Some((sender, mut reader)) = open(asker, world, methods::DELTA, framed(&first)).await else {
         return Ok(());
     };
+    let mut held = BTreeMap::new();
     while let Some(response) = reader.next::<discovery::DeltaDiscoveryResponse>().await? {
+        for resource in &response.resources {
+            let number = resource.version.split('.').nth(1).and_then(|number| number.parse::<u64>().ok());
+            held.insert(resource.name.clone(), number.unwrap_or(0));
+        }
+        held.retain(|name, _| !response.removed_resources.contains(name));
+        let parts = held.iter().map(|(name, number)| [name.as_bytes(), &[0], &number.to_le_bytes()].concat());
+        let whole = |resource: &discovery::Resource| {
+            resource.resource.as_ref().is_some_and(|it| agrees(&resource.version, [it.value.clone()]))
+        };
+        let fine = agrees(&response.system_version_info, parts) && response.resources.iter().all(whole);
         let written = response.resources.iter().filter_map(|resource| resource.resource.as_ref());
-        for (class, lines) in written.filter_map(|resource| lines(world, resource)) {
+        for (class, lines) in written.filter(|_| fine).filter_map(|resource| lines(world, resource)) {
             asker.take(world, class, lines);
         }
         let taken = discovery::DeltaDiscoveryRequest {
             type_url: response.type_url,
             response_nonce: response.nonce,
+            error_detail: if fine { None } else { disagreement() },
             ..Default::default()
         };
         let _ = sender.send(framed(&taken)).await;
+        if !fine {
+            // It starts anew on another stream, holding nothing.
+            return Ok(());
+        }
     }
     Ok(())
 }
--- a/xds/src/grpc.rs
+++ b/xds/src/grpc.rs
@@ -17,6 +17,7 @@
     Aborted = 10,
     Unimplemented = 12,
     Unavailable = 14,
+    Unauthenticated = 16,
 }
 
 /// Why a stream ends.
--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -1,5 +1,6 @@
 //! The sockets: HTTP/2 connections, and the streams on them.
 
+use crate::digest::{self, Digest};
 use crate::grpc::{end, framed, Code, Reader, Status};
 use crate::load::{self, Load};
 use crate::methods;
@@ -8,12 +9,14 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::{future, stream, StreamExt};
+use futures_lite::{future, stream, AsyncRead, AsyncWrite, StreamExt};
+use futures_rustls::rustls::ServerConnection;
 use http_body_util::{Either, Empty, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper::{Method, Response};
 use oatlever::round::Address;
+use oatlever_identity::{Keys, Peer};
 use oatlever_tables::View;
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
@@ -25,9 +28,10 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use xds_api::pb::envoy::config::core::v3::Node;
 use xds_api::pb::envoy::service::discovery::v3 as discovery;
 use xds_api::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
-use xds_api::pb::google::protobuf::Duration as ProtoDuration;
+use xds_api::pb::google::protobuf::{Any, Duration as ProtoDuration};
 
 /// Streams on one connection: discovery and load, and as many again while it changes over.
 const STREAMS: u32 = 8;
@@ -36,8 +40,11 @@
 pub trait Desk {
     /// Seconds on the pilot's clock.
     fn now(&self) -> f64;
-    /// The asker of this node's name.
-    fn asker(&self, node: &str) -> Option<u16>;
+    /// The asker that a peer comes as, by the node it names and the zone it says it sits in. Errors: why it
+    /// may not.
+    fn admit(&self, node: &str, zone: Option<&str>, peer: Option<&Peer>) -> Result<u16, String>;
+    /// Unix time, s.
+    fn unix(&self) -> f64;
     /// Its stream is up: it is bound by the time this returns, if it can be.
     fn arrive(&self, asker: u16);
     fn depart(&self, asker: u16);
@@ -74,6 +81,8 @@
     open: RefCell<BTreeMap<u16, Rc<Stream>>>,
     connections: Cell<usize>,
     changed: Rc<Event>,
+    /// Connections are plain without.
+    keys: Option<RefCell<Keys>>,
     pub counts: RefCell<Counts>,
 }
 
@@ -86,6 +95,11 @@
     pub refused: u64,
     pub stale: u64,
     pub loads: u64,
+    /// Handshakes that came to nothing.
+    pub handshakes_failed: u64,
+    /// Keys taken up from changed files, and changed files that could not be used.
+    pub keys_renewed: u64,
+    pub keys_left: u64,
     /// Streams that ended, by why.
     pub ended: BTreeMap<&'static str, u64>,
 }
@@ -96,6 +110,8 @@
     session: RefCell<Session>,
     variant: Variant,
     since: f64,
+    /// Unix time that its proxy's certificate runs out at, s.
+    until: f64,
     status: RefCell<Option<Status>>,
     wake: Event,
     /// The version last told to be held.
@@ -143,7 +159,14 @@
 impl<D: Desk> Shared<D> {
     /// `changed` tells that tables may have: streams look for themselves then. `epoch` is another in each
     /// life of a pilot.
-    pub fn new(desk: D, classes: Vec<Class>, limits: Limits, changed: Rc<Event>, epoch: u64) -> Rc<Self> {
+    pub fn new(
+        desk: D,
+        classes: Vec<Class>,
+        limits: Limits,
+        changed: Rc<Event>,
+        epoch: u64,
+        keys: Option<Keys>,
+    ) -> Rc<Self> {
         Rc::new(Shared {
             desk,
             library: RefCell::new(Library::new(classes)),
@@ -152,6 +175,7 @@
             open: RefCell::default(),
             connections: Cell::new(0),
             changed,
+            keys: keys.map(RefCell::new),
             counts: RefCell::default(),
         })
     }
@@ -163,11 +187,12 @@
 
     /// The number of a version as this pilot wrote it; none of another's.
     fn own_version(&self, text: &str) -> Option<u64> {
-        let (epoch, number) = text.split_once('.')?;
+        let (epoch, rest) = text.split_once('.')?;
+        let number = rest.split_once('.')?.0;
         (epoch == self.epoch).then(|| number.parse().ok()).flatten()
     }
 
-    fn written(&self, asker: u16, kind: Kind, name: &str) -> Option<xds_api::pb::google::protobuf::Any> {
+    fn written(&self, asker: u16, kind: Kind, name: &str) -> Option<Any> {
         let class = self.library.borrow().class(name)?;
         let lines = |view: Option<View>| -> Vec<Address> {
             view.map_or(Vec::new(), |v| v.index.lines().iter().map(|line| line.server).collect())
@@ -196,30 +221,35 @@
     }
 
     fn message(&self, stream: &Stream, push: Push) -> Bytes {
-        let version = |number: u64| format!("{}.{number}", self.epoch);
+        let version = |number: u64, digest: Digest| format!("{}.{number}.{digest}", self.epoch);
         let type_url = push.kind.type_url().to_string();
-        let resources = push.resources.into_iter().filter_map(|(name, number)| {
+        let written = push.resources.into_iter().filter_map(|(name, number)| {
             let written = self.written(stream.asker, push.kind, &name)?;
             Some((name, number, written))
         });
         match stream.variant {
-            Variant::State => framed(&discovery::DiscoveryResponse {
-                version_info: version(push.at),
-                resources: resources.map(|(_, _, written)| written).collect(),
-                type_url,
-                nonce: push.nonce,
-                ..Default::default()
-            }),
+            Variant::State => {
+                let resources: Vec<_> = written.map(|(_, _, written)| written).collect();
+                let digest = digest::of_bytes(resources.iter().map(|written| &written.value[..]));
+                framed(&discovery::DiscoveryResponse {
+                    version_info: version(push.at, digest),
+                    resources,
+                    type_url,
+                    nonce: push.nonce,
+                    ..Default::default()
+                })
+            }
             Variant::Delta => {
-                let resource = |(name, number, written)| discovery::Resource {
+                let resource = |(name, number, written): (_, _, Any)| discovery::Resource {
                     name,
-                    version: version(number),
+                    version: version(number, digest::of_bytes([&written.value[..]])),
                     resource: Some(written),
                     ..Default::default()
                 };
+                let holds = push.holds.iter().map(|(name, number)| (name.as_str(), *number));
                 framed(&discovery::DeltaDiscoveryResponse {
-                    system_version_info: version(push.at),
-                    resources: resources.map(resource).collect(),
+                    system_version_info: version(push.at, digest::of_holdings(holds)),
+                    resources: written.map(resource).collect(),
                     type_url,
                     removed_resources: push.removed,
                     nonce: push.nonce,
@@ -247,15 +277,39 @@
         Ok(())
     }
 
-    /// The asker of a node takes up a stream; an older one of the same node ends.
-    fn join(&self, node: &str, variant: Variant) -> Result<Rc<Stream>, Status> {
-        let unknown = || Status::new(Code::PermissionDenied, format!("no asker has the node {node:?}"));
-        let asker = self.desk.asker(node).ok_or_else(unknown)?;
+    /// Takes up keys and certificates that have changed, for connections from now on.
+    pub fn renew_keys(&self) {
+        let Some(keys) = &self.keys else { return };
+        let mut counts = self.counts.borrow_mut();
+        match keys.borrow_mut().refresh() {
+            Ok(false) => {}
+            Ok(true) => {
+                tracing::info!("new keys taken up");
+                counts.keys_renewed += 1;
+            }
+            Err(what) => {
+                tracing::warn!(%what, "changed keys can't be used, the old ones stay");
+                counts.keys_left += 1;
+            }
+        }
+    }
+
+    fn admit(&self, node: Option<&Node>, peer: Option<&Peer>) -> Result<u16, Status> {
+        let name = node.map_or("", |node| node.id.as_str());
+        let zone = node.and_then(|node| node.locality.as_ref()).map(|at| at.zone.as_str());
+        let zone = zone.filter(|zone| !zone.is_empty());
+        self.desk.admit(name, zone, peer).map_err(|why| Status::new(Code::PermissionDenied, why))
+    }
+
+    /// A node takes up a stream; an older one of the same node ends.
+    fn join(&self, node: Option<&Node>, peer: Option<&Peer>, variant: Variant) -> Result<Rc<Stream>, Status> {
+        let asker = self.admit(node, peer)?;
         let stream = Rc::new(Stream {
             asker,
             session: RefCell::new(Session::new(variant)),
             variant,
             since: self.desk.now(),
+            until: peer.map_or(f64::INFINITY, |peer| peer.until),
             status: RefCell::default(),
             wake: Event::new(),
             told: Cell::new(0),
@@ -278,22 +332,28 @@
         }
     }
 
-    /// Whether the proxy has kept its pilot waiting for too long.
-    fn is_overdue(&self, stream: &Stream) -> bool {
+    /// Why a stream must end now: its proxy has kept its pilot waiting for too long, or may no longer come as
+    /// the node that it came as.
+    fn trouble(&self, stream: &Stream) -> Option<Status> {
+        if self.desk.unix() >= stream.until {
+            return Some(Status::new(Code::Unauthenticated, "the client certificate has run out"));
+        }
         let now = self.desk.now();
         let late = |since: f64| now - since > self.limits.patience;
         let session = stream.session.borrow();
         let bound = self.desk.look(stream.asker, 0, |view| view.is_some());
         // One that never asks for lines keeps those it came with. One that refuses them has answered: cut
         // off, it would dial again, refuse again, and so on.
-        session.unanswered_since().is_some_and(late) || bound && !session.has_answered() && late(stream.since)
+        let overdue = session.unanswered_since().is_some_and(late)
+            || bound && !session.has_answered() && late(stream.since);
+        overdue.then(|| Status::new(Code::DeadlineExceeded, "no answer in time"))
     }
 }
 
 /// A request of either variant, with the node and kind that it names.
 trait Asked: prost::Message + Default {
     const VARIANT: Variant;
-    fn node(&self) -> Option<&str>;
+    fn node(&self) -> Option<&Node>;
     fn type_url(&self) -> &str;
     fn request(self, version: impl Fn(&str) -> Option<u64>) -> Request;
 }
@@ -301,8 +361,8 @@
 impl Asked for discovery::DiscoveryRequest {
     const VARIANT: Variant = Variant::State;
 
-    fn node(&self) -> Option<&str> {
-        self.node.as_ref().map(|node| node.id.as_str())
+    fn node(&self) -> Option<&Node> {
+        self.node.as_ref()
     }
 
     fn type_url(&self) -> &str {
@@ -322,8 +382,8 @@
 impl Asked for discovery::DeltaDiscoveryRequest {
     const VARIANT: Variant = Variant::Delta;
 
-    fn node(&self) -> Option<&str> {
-        self.node.as_ref().map(|node| node.id.as_str())
+    fn node(&self) -> Option<&Node> {
+        self.node.as_ref()
     }
 
     fn type_url(&self) -> &str {
@@ -376,12 +436,12 @@
         let asked = match first.take() {
             Some(asked) => asked,
             None => {
-                let read = async { Some(reader.next::<M>().await) };
                 let closed = async {
                     loop {
                         let wake = stream.wake.listen();
-                        if stream.status.borrow().is_some() || shared.is_overdue(stream) {
-                            return None;
+                        let told = stream.status.borrow().clone();
+                        if let Some(status) = told.or_else(|| shared.trouble(stream)) {
+                            return Err(status);
                         }
                         let pause = Duration::from_secs_f64(shared.limits.patience / 4.0);
                         let timer = async {
@@ -390,15 +450,10 @@
                         future::or(wake, timer).await;
                     }
                 };
-                match future::or(closed, read).await {
-                    Some(Ok(Some(asked))) => asked,
-                    Some(Ok(None)) => return Status::new(Code::Ok, "ended by the proxy"),
-                    Some(Err(status)) => return status,
-                    None => {
-                        let kept = stream.status.borrow().clone();
-                        return kept
-                            .unwrap_or_else(|| Status::new(Code::DeadlineExceeded, "no answer in time"));
-                    }
+                match future::or(closed, reader.next::<M>()).await {
+                    Ok(Some(asked)) => asked,
+                    Ok(None) => return Status::new(Code::Ok, "ended by the proxy"),
+                    Err(status) => return status,
                 }
             }
         };
@@ -434,6 +489,7 @@
 async fn discover<D: Desk + 'static, M: Asked + 'static>(
     shared: Rc<Shared<D>>,
     mut reader: Reader<Incoming>,
+    peer: Option<Rc<Peer>>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Answer {
     let patience = Duration::from_secs_f64(shared.limits.patience);
@@ -446,7 +502,7 @@
         Ok(None) => return refusal(&Status::new(Code::InvalidArgument, "no request")),
         Err(status) => return refusal(&status),
     };
-    let stream = match shared.join(first.node().unwrap_or_default(), M::VARIANT) {
+    let stream = match shared.join(first.node(), peer.as_deref(), M::VARIANT) {
         Ok(stream) => stream,
         Err(status) => {
             *shared.counts.borrow_mut().ended.entry("refused").or_default() += 1;
@@ -461,6 +517,7 @@
             Code::DeadlineExceeded => "too slow",
             Code::Aborted => "replaced",
             Code::Unavailable => "broken",
+            Code::Unauthenticated => "expired",
             _ => "malformed",
         };
         tracing::info!(asker = stream.asker, %status, "stream ended");
@@ -476,6 +533,7 @@
 fn loads<D: Desk + 'static>(
     shared: Rc<Shared<D>>,
     mut reader: Reader<Incoming>,
+    peer: Option<Rc<Peer>>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Answer {
     let (told, status) = (Rc::new(Event::new()), Rc::new(RefCell::new(None::<Status>)));
@@ -498,14 +556,20 @@
                 Ok(None) => break Status::new(Code::Ok, "ended by the proxy"),
                 Err(status) => break status,
             };
-            let node = report.node.as_ref().map(|node| node.id.as_str());
-            asker = asker.or_else(|| shared.desk.asker(node.unwrap_or_default()));
-            let Some(asker) = asker else {
-                break Status::new(Code::PermissionDenied, "no asker has this node");
+            let of = match asker {
+                // Only the first names its node.
+                Some(of) => of,
+                None => match shared.admit(report.node.as_ref(), peer.as_deref()) {
+                    Ok(of) => *asker.insert(of),
+                    Err(status) => break status,
+                },
             };
+            if peer.as_ref().is_some_and(|peer| peer.until <= shared.desk.unix()) {
+                break Status::new(Code::Unauthenticated, "the client certificate has run out");
+            }
             let read = report.cluster_stats.iter().filter_map(load::read);
             shared.counts.borrow_mut().loads += 1;
-            shared.desk.load(asker, read.collect());
+            shared.desk.load(of, read.collect());
         };
         *end_status.borrow_mut() = Some(ended);
         end_told.notify(usize::MAX);
@@ -538,26 +602,28 @@
     }
 }
 
-async fn connection<D: Desk + 'static>(
-    socket: Async<TcpStream>,
+/// Serves a connection until it ends. `asked` tells that a request came.
+async fn requests<D: Desk + 'static>(
+    socket: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    peer: Option<Rc<Peer>>,
     shared: Rc<Shared<D>>,
     executor: Rc<LocalExecutor<'static>>,
+    asked: &Cell<bool>,
 ) {
-    let asked = Cell::new(false);
     let service = service_fn(|request: hyper::Request<Incoming>| {
         asked.set(true);
-        let (shared, executor) = (shared.clone(), executor.clone());
+        let (shared, peer, executor) = (shared.clone(), peer.clone(), executor.clone());
         async move {
             let (head, body) = request.into_parts();
             let reader = Reader::new(body, shared.limits.most_bytes);
             let response = match (head.method, head.uri.path()) {
                 (Method::POST, methods::STATE) => {
-                    discover::<_, discovery::DiscoveryRequest>(shared, reader, executor).await
+                    discover::<_, discovery::DiscoveryRequest>(shared, reader, peer, executor).await
                 }
                 (Method::POST, methods::DELTA) => {
-                    discover::<_, discovery::DeltaDiscoveryRequest>(shared, reader, executor).await
+                    discover::<_, discovery::DeltaDiscoveryRequest>(shared, reader, peer, executor).await
                 }
-                (Method::POST, methods::LOAD) => loads(shared, reader, executor),
+                (Method::POST, methods::LOAD) => loads(shared, reader, peer, executor),
                 _ => refusal(&Status::new(Code::Unimplemented, "no such method")),
             };
             Ok::<_, Infallible>(response)
@@ -565,9 +631,38 @@
     });
     let mut builder = hyper::server::conn::http2::Builder::new(Local(executor.clone()));
     builder.max_concurrent_streams(STREAMS);
+    // However it ends, its streams hear of it by themselves.
+    let _ = builder.serve_connection(FuturesIo::new(socket), service).await;
+}
+
+/// Who is at the other end, once the handshake has found its certificate good.
+fn peer_of(connection: &ServerConnection) -> Result<Option<Rc<Peer>>, String> {
+    let shown = connection.peer_certificates().and_then(|chain| chain.first());
+    shown.map(|certificate| Peer::read(certificate).map(Rc::new)).transpose()
+}
+
+async fn connection<D: Desk + 'static>(
+    socket: Async<TcpStream>,
+    shared: Rc<Shared<D>>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    let asked = Cell::new(false);
     let served = async {
-        // However it ends, its streams hear of it by themselves.
-        let _ = builder.serve_connection(FuturesIo::new(socket), service).await;
+        let acceptor = shared.keys.as_ref().map(|keys| keys.borrow().acceptor());
+        let Some(acceptor) = acceptor else {
+            return requests(socket, None, shared.clone(), executor, &asked).await;
+        };
+        let met = match acceptor.accept(socket).await {
+            Ok(stream) => peer_of(stream.get_ref().1).map(|peer| (stream, peer)),
+            Err(e) => Err(e.to_string()),
+        };
+        match met {
+            Ok((stream, peer)) => requests(stream, peer, shared.clone(), executor, &asked).await,
+            Err(what) => {
+                tracing::info!(%what, "handshake failed");
+                shared.counts.borrow_mut().handshakes_failed += 1;
+            }
+        }
     };
     // Guards against connections that say nothing: a few thousand would keep all proxies out.
     let silent = async {
--- a/xds/src/session.rs
+++ b/xds/src/session.rs
@@ -98,6 +98,8 @@
     pub resources: Vec<(String, u64)>,
     /// Incremental: names that there are no resources of.
     pub removed: Vec<String>,
+    /// All names and versions of the kind that the proxy holds once it has taken this.
+    pub holds: BTreeMap<String, u64>,
     /// What tables said when it was made.
     pub at: u64,
 }
@@ -284,8 +286,12 @@
             let nonce = self.nonces.to_string();
             let there = told.iter().filter_map(|(name, sent)| sent.map(|version| (name.clone(), version)));
             let gone = told.iter().filter(|(_, sent)| sent.is_none()).map(|(name, _)| name.clone());
+            let mut holds =
+                if self.variant == Variant::Delta { watch.taken.clone() } else { BTreeMap::new() };
+            holds.extend(told.clone());
             let push = Push {
                 kind,
+                holds: holds.into_iter().filter_map(|(name, sent)| Some((name, sent?))).collect(),
                 nonce: nonce.clone(),
                 resources: there.collect(),
                 removed: if self.variant == Variant::Delta { gone.collect() } else { Vec::new() },
--- a/xds/tests/streams.rs
+++ b/xds/tests/front/streams.rs
@@ -1,227 +1,30 @@
 //! The front on loopback, against clients that behave and clients that do not.
 
-use async_executor::LocalExecutor;
+use crate::harness::{decode, endpoints, play, request, server, url, Call, PATIENCE};
 use async_io::{Async, Timer};
-use event_listener::Event;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
-use http_body_util::StreamBody;
-use hyper::body::{Bytes, Frame, Incoming};
-use oatlever::round::{Address, Writer};
-use oatlever_tables::{Kind as AskerKind, News, Pull, Tables, View};
-use oatlever_xds::grpc::{framed, Code, Reader};
-use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Local, Shared};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use hyper::body::Bytes;
+use oatlever::round::Writer;
+use oatlever_xds::grpc::{framed, Code};
+use oatlever_xds::{methods, Desk, Load};
 use prost::Message;
-use smol_hyper::rt::FuturesIo;
-use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
-use std::future::Future;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
-use std::time::{Duration, Instant};
+use siphasher::sip::SipHasher24;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::net::TcpStream;
+use std::time::Duration;
 use xds_api::pb::envoy::config::cluster::v3::Cluster;
 use xds_api::pb::envoy::config::core::v3::{address, Node};
 use xds_api::pb::envoy::config::endpoint::v3::{lb_endpoint, ClusterLoadAssignment, ClusterStats};
 use xds_api::pb::envoy::config::listener::v3::Listener;
 use xds_api::pb::envoy::config::route::v3::{route, route_action, RouteConfiguration};
 use xds_api::pb::envoy::extensions::filters::network::http_connection_manager::v3 as manager;
-use xds_api::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
+use xds_api::pb::envoy::service::discovery::v3::{
+    DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest,
+};
 use xds_api::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use xds_api::pb::google::{protobuf::Duration as ProtoDuration, rpc::Status as RpcStatus};
 
-const PATIENCE: f64 = 0.6;
-/// Reached only where something is wrong.
-const LONG: Duration = Duration::from_secs(20);
-
-struct State {
-    tables: RefCell<Tables>,
-    began: Instant,
-    up: RefCell<Vec<(u16, bool)>>,
-    told: RefCell<Vec<(u16, u64)>>,
-    refused: RefCell<Vec<String>>,
-    loads: RefCell<Vec<Load>>,
-    rounds: Cell<u64>,
-    changed: Rc<Event>,
-}
-
-#[derive(Clone)]
-struct Book(Rc<State>);
-
-impl Desk for Book {
-    fn now(&self) -> f64 {
-        self.0.began.elapsed().as_secs_f64()
-    }
-    fn asker(&self, node: &str) -> Option<u16> {
-        node.strip_prefix("relay-")?.parse().ok().filter(|n| *n < 500)
-    }
-    fn arrive(&self, asker: u16) {
-        self.0.up.borrow_mut().push((asker, true));
-        self.order(|tables| tables.bind(asker, asker % 2));
-    }
-    fn depart(&self, asker: u16) {
-        self.0.up.borrow_mut().push((asker, false));
-        self.0.tables.borrow_mut().leave(asker);
-    }
-    fn look<R>(&self, asker: u16, class: u16, see: impl FnOnce(Option<View>) -> R) -> R {
-        see(self.0.tables.borrow().held(asker, class))
-    }
-    fn version(&self) -> u64 {
-        self.0.tables.borrow().version()
-    }
-    fn zone_of(&self, server: &Address) -> Option<String> {
-        Some(format!("zone-{}", server.host[3] % 2))
-    }
-    fn acknowledged(&self, asker: u16, version: u64) {
-        self.0.told.borrow_mut().push((asker, version));
-        self.0.tables.borrow_mut().pull.acknowledge(asker, version);
-    }
-    fn refused(&self, asker: u16, version: u64, why: &str) {
-        self.0.refused.borrow_mut().push(why.to_string());
-        self.0.tables.borrow_mut().pull.refuse(asker, version);
-    }
-    fn load(&self, _: u16, loads: Vec<Load>) {
-        self.0.loads.borrow_mut().extend(loads);
-    }
-}
-
-fn server(n: u8) -> Address {
-    Address { host: [10, 0, 0, n], port: 7000 }
-}
-
-impl Book {
-    fn order(&self, write: impl FnOnce(&mut Tables)) {
-        let (mut tables, round) = (self.0.tables.borrow_mut(), self.0.rounds.get() + 1);
-        self.0.rounds.set(round);
-        tables.open(self.now(), round, News::default());
-        write(&mut tables);
-        tables.mark(round, false);
-        tables.close();
-        drop(tables);
-        self.0.changed.notify(usize::MAX);
-    }
-
-    async fn until(&self, what: &str, mut done: impl FnMut(&State) -> bool) {
-        let begun = Instant::now();
-        while !done(&self.0) {
-            assert!(begun.elapsed() < LONG, "never: {what}");
-            Timer::after(Duration::from_millis(5)).await;
-        }
-    }
-}
-
-struct Play {
-    book: Book,
-    host: SocketAddr,
-    shared: Rc<Shared<Book>>,
-    executor: Rc<LocalExecutor<'static>>,
-}
-
-/// A front with two tables of two servers each, and what is to be done with it.
-fn play<F: Future<Output = ()>>(with: impl FnOnce(Rc<Play>) -> F) {
-    let executor = Rc::new(LocalExecutor::new());
-    let changed = Rc::new(Event::new());
-    let tables = Tables::new(500, 2, Pull::new(&[AskerKind::Stream; 500], 2, 1.5, 0.0), 10);
-    let book = Book(Rc::new(State {
-        tables: RefCell::new(tables),
-        began: Instant::now(),
-        up: RefCell::default(),
-        told: RefCell::default(),
-        refused: RefCell::default(),
-        loads: RefCell::default(),
-        rounds: Cell::new(0),
-        changed: changed.clone(),
-    }));
-    book.order(|tables| {
-        for table in 0..2u8 {
-            tables.weigh(u16::from(table), server(2 * table), 1.0);
-            tables.weigh(u16::from(table), server(2 * table + 1), 3.0);
-            tables.admit(u16::from(table), 2, 0.75, 1);
-        }
-    });
-    let class = |name: &str, once| Class { name: name.into(), once };
-    let limits = Limits { patience: PATIENCE, most_bytes: 1 << 16, connections: 600, report_period: 0.1 };
-    let classes = vec![class("search", false), class("reserve", true)];
-    let shared = Shared::new(book.clone(), classes, limits, changed, 9);
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    rustix::net::listen(&listener, 4096).unwrap();
-    let host = listener.local_addr().unwrap();
-    let play = Rc::new(Play { book, host, shared: shared.clone(), executor: executor.clone() });
-    async_io::block_on(executor.clone().run(async move {
-        let serving = executor.spawn(serve(listener, shared, executor.clone()));
-        with(play).await;
-        drop(serving);
-    }));
-}
-
-struct Call {
-    sender: async_channel::Sender<Bytes>,
-    reader: Reader<Incoming>,
-    status: Option<u16>,
-}
-
-impl Call {
-    async fn start(play: &Play, path: &str, first: Bytes) -> Call {
-        let socket = Async::<TcpStream>::connect(play.host).await.unwrap();
-        let local = Local(play.executor.clone());
-        let (mut requests, connection) =
-            hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await.unwrap();
-        play.executor.spawn(async move { drop(connection.await) }).detach();
-        let (sender, receiver) = async_channel::unbounded();
-        sender.try_send(first).unwrap();
-        let body = StreamBody::new(Box::pin(receiver.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)))));
-        let request = hyper::Request::post(format!("http://{}{path}", play.host)).body(body).unwrap();
-        let response = requests.send_request(request).await.unwrap();
-        let status = response.headers().get("grpc-status").map(|s| s.to_str().unwrap().parse().unwrap());
-        Call { sender, reader: Reader::new(response.into_body(), 1 << 20), status }
-    }
-
-    async fn discover(play: &Play, node: &str, type_url: &str, names: &[&str]) -> Call {
-        Call::start(play, methods::STATE, request(node, type_url, names, "")).await
-    }
-
-    async fn next(&mut self) -> DiscoveryResponse {
-        let late = async {
-            Timer::after(LONG).await;
-            panic!("no response came");
-        };
-        future::or(async { self.reader.next().await.unwrap().expect("a response") }, late).await
-    }
-
-    /// The next response, taken.
-    async fn take(&mut self, names: &[&str]) -> DiscoveryResponse {
-        let response = self.next().await;
-        let taken = request("", &response.type_url, names, &response.nonce);
-        self.sender.send(taken).await.unwrap();
-        response
-    }
-
-    /// Whether the stream has ended: no further message, or broken.
-    async fn ended(&mut self) -> bool {
-        matches!(self.reader.next::<DiscoveryResponse>().await, Ok(None) | Err(_))
-    }
-}
-
-fn request(node: &str, type_url: &str, names: &[&str], nonce: &str) -> Bytes {
-    framed(&DiscoveryRequest {
-        node: (!node.is_empty()).then(|| Node { id: node.into(), ..Default::default() }),
-        type_url: type_url.into(),
-        resource_names: names.iter().map(|name| name.to_string()).collect(),
-        response_nonce: nonce.into(),
-        ..Default::default()
-    })
-}
-
-fn url(kind: &str) -> String {
-    format!("type.googleapis.com/envoy.config.{kind}")
-}
-
-fn endpoints() -> String {
-    url("endpoint.v3.ClusterLoadAssignment")
-}
-
-fn decode<M: Message + Default>(response: &DiscoveryResponse) -> M {
-    M::decode(&response.resources[0].value[..]).unwrap()
-}
-
 /// Zone, address, and part of the whole of each endpoint.
 fn lines(assignment: &ClusterLoadAssignment) -> Vec<(String, String, f64)> {
     let all: f64 =
@@ -474,3 +277,51 @@
         assert_eq!(*play.book.0.loads.borrow(), [wanted], "one that covers no time measured nothing");
     });
 }
+
+/// Digests in versions tell a proxy that holds all from one that missed a change, whichever way it missed it.
+#[test]
+fn a_digest_tells_that_a_change_was_missed() {
+    let digest = |held: &BTreeMap<String, u64>| {
+        let mut hasher = SipHasher24::new();
+        for (name, number) in held {
+            hasher.write(&[name.as_bytes(), &[0], &number.to_le_bytes()].concat());
+        }
+        format!("{:016x}", hasher.finish())
+    };
+    play(|play| async move {
+        let both = vec!["search".to_string(), "reserve".into()];
+        let request = |node: &str, names: &[String], nonce: &str| {
+            framed(&DeltaDiscoveryRequest {
+                node: (!node.is_empty()).then(|| Node { id: node.into(), ..Default::default() }),
+                type_url: endpoints(),
+                resource_names_subscribe: names.to_vec(),
+                response_nonce: nonce.into(),
+                ..Default::default()
+            })
+        };
+        let mut call = Call::start(&play, methods::DELTA, request("relay-0", &both, "")).await;
+        let (mut held, mut missed) = (BTreeMap::new(), BTreeMap::new());
+        for round in 0..20u8 {
+            let response: DeltaDiscoveryResponse = call.reader.next().await.unwrap().unwrap();
+            for (place, resource) in response.resources.iter().enumerate() {
+                let mut parts = resource.version.split('.').skip(1);
+                let number: u64 = parts.next().unwrap().parse().unwrap();
+                let mut hasher = SipHasher24::new();
+                hasher.write(&resource.resource.as_ref().unwrap().value);
+                assert_eq!(parts.next(), Some(&*format!("{:016x}", hasher.finish())));
+                held.insert(resource.name.clone(), number);
+                if (round, place) != (7, 1) {
+                    missed.insert(resource.name.clone(), number);
+                }
+            }
+            let told = response.system_version_info.rsplit('.').next().unwrap().to_string();
+            assert_eq!(digest(&held), told);
+            assert_eq!(digest(&missed) == told, round != 7, "round {round}");
+            if round == 7 {
+                missed.clone_from(&held);
+            }
+            call.sender.send(request("", &[], &response.nonce)).await.unwrap();
+            play.book.order(|tables| tables.weigh(0, server(1), 5.0 + f64::from(round)));
+        }
+    });
+}
