--- a/xds/tests/front/streams.rs
+++ b/xds/tests/front/streams.rs
@@ -1,8 +1,8 @@
 //! The front on loopback, against clients that behave and clients that do not.
 
-use crate::harness::{decode, endpoints, play, request, server, url, Call, PATIENCE};
+use crate::harness::{decode, endpoints, play, request, server, url, Call, State, PATIENCE};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use hyper::body::Bytes;
 use oatlever::round::Writer;
 use oatlever_xds::grpc::{framed, Code};
@@ -10,8 +10,12 @@
 use prost::Message;
 use siphasher::sip::SipHasher24;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::hash::Hasher;
+use std::io;
 use std::net::TcpStream;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use xds_api::pb::envoy::config::cluster::v3::Cluster;
 use xds_api::pb::envoy::config::core::v3::{address, Node};
@@ -325,3 +329,162 @@
         }
     });
 }
+
+/// A rollback comes while a newer change is still under way to a proxy that is slow to answer: the change is
+/// answered first, then the old lines come, and the books end at the rollback.
+#[test]
+fn a_rollback_overtakes_nothing() {
+    play(|play| async move {
+        play.book.0.tables.borrow_mut().keep_versions(10);
+        let mut call = Call::discover(&play, "relay-0", &endpoints(), &["search"]).await;
+        let first = lines(&decode(&call.take(&["search"]).await));
+        play.book.order(|tables| tables.weigh(0, server(0), 9.0));
+        let newer = call.next().await;
+        assert_ne!(lines(&decode(&newer)), first);
+        let back = play.book.0.tables.borrow_mut().roll_back(0, 1, play.book.now()).unwrap();
+        play.book.0.changed.notify(usize::MAX);
+        play.book.order(|tables| tables.weigh(0, server(1), 8.0));
+        call.sender.send(request("", &newer.type_url, &["search"], &newer.nonce)).await.unwrap();
+        assert_eq!(lines(&decode(&call.take(&["search"]).await)), first);
+        play.book
+            .until("the rollback's ACK", |state| {
+                state.told.borrow().iter().any(|(asker, held)| *asker == 0 && *held >= back)
+            })
+            .await;
+        let mut tables = play.book.0.tables.borrow_mut();
+        assert_eq!((tables.receipts(1e9).len(), tables.pull.waiting()), (3, 0.0));
+    });
+}
+
+/// Reads a byte at a time, with a pause before each.
+struct Trickle {
+    socket: Async<TcpStream>,
+    pause: Timer,
+}
+
+const BETWEEN_BYTES: Duration = Duration::from_millis(100);
+
+impl AsyncRead for Trickle {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: &mut [u8]) -> Poll<io::Result<usize>> {
+        if Pin::new(&mut self.pause).poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.socket).poll_read(cx, &mut into[..1]);
+        if read.is_ready() {
+            self.pause = Timer::after(BETWEEN_BYTES);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Trickle {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_close(cx)
+    }
+}
+
+/// Half of the proxies read a byte now and then: the others are told every change at once, the slow ones are
+/// cut off within the patience, and what waited for them is dropped.
+#[test]
+fn half_of_the_proxies_read_a_byte_at_a_time() {
+    play(|play| async move {
+        let slow: Vec<_> = (0..20)
+            .map(|n| {
+                let of = play.clone();
+                play.executor.spawn(async move {
+                    let socket = Async::<TcpStream>::connect(of.host).await.unwrap();
+                    let socket = Trickle { socket, pause: Timer::after(BETWEEN_BYTES) };
+                    let first = request(&format!("relay-{}", 2 * n + 1), &endpoints(), &["search"], "");
+                    // The connection's own settings come as slowly: most never hear so much as a response.
+                    drop(Call::over(socket, &of, methods::STATE, first).await);
+                    std::future::pending::<()>().await;
+                })
+            })
+            .collect();
+        let quick: Vec<async_executor::Task<()>> = (0..20)
+            .map(|n| {
+                let of = play.clone();
+                play.executor.spawn(async move {
+                    let node = format!("relay-{}", 2 * n);
+                    let mut call = Call::discover(&of, &node, &endpoints(), &["search"]).await;
+                    loop {
+                        call.take(&["search"]).await;
+                    }
+                })
+            })
+            .collect();
+        let book = play.book.clone();
+        let up = |state: &State| state.up.borrow().iter().filter(|(_, up)| *up).count();
+        book.until("all streams", |state| up(state) == 40).await;
+        for n in 0..5u8 {
+            book.order(|tables| (0..2).for_each(|table| tables.weigh(table, server(n), 5.0)));
+        }
+        let version = book.version();
+        let current = |state: &State| {
+            let told = state.told.borrow();
+            told.iter().filter(|(asker, held)| asker % 2 == 0 && *held >= version).count()
+        };
+        book.until("the quick ones' ACKs", |state| current(state) >= 20).await;
+        let off = |state: &State| state.up.borrow().iter().filter(|(_, up)| !up).count();
+        book.until("the slow ones' end", |state| off(state) == 20).await;
+        assert!(book.0.up.borrow().iter().all(|(asker, up)| *up || asker % 2 == 1));
+        let mut tables = book.0.tables.borrow_mut();
+        assert!(tables.receipts(1e9).iter().all(|receipt| receipt.proxy % 2 == 0));
+        assert_eq!(tables.pull.waiting(), 0.0);
+        drop((slow, quick));
+    });
+}
+
+/// What peers may send, changed at random: the front refuses or takes it, stays bounded, and goes on serving.
+#[test]
+fn messages_changed_at_random_do_no_harm() {
+    play(|play| async move {
+        let mut chance = fastrand::Rng::with_seed(11);
+        let whole = [
+            request("relay-3", &endpoints(), &["search", "reserve"], "1"),
+            framed(&DeltaDiscoveryRequest {
+                node: Some(Node { id: "relay-3".into(), ..Default::default() }),
+                type_url: endpoints(),
+                resource_names_subscribe: vec!["*".into(), "search".into()],
+                initial_resource_versions: [("search".to_string(), "9.1.0".to_string())].into(),
+                ..Default::default()
+            }),
+            framed(&LoadStatsRequest {
+                node: Some(Node { id: "relay-3".into(), ..Default::default() }),
+                cluster_stats: vec![ClusterStats { cluster_name: "search".into(), ..Default::default() }],
+            }),
+        ];
+        let paths = [methods::STATE, methods::DELTA, methods::LOAD];
+        let mut all = Vec::new();
+        for n in 0..300 {
+            let mut bytes = whole[n % 3].to_vec();
+            for _ in 0..chance.usize(1..6) {
+                let place = chance.usize(..bytes.len());
+                match chance.u8(..3) {
+                    0 => bytes[place] = chance.u8(..),
+                    1 => bytes.truncate(place.max(1)),
+                    _ => bytes.insert(place, chance.u8(..)),
+                }
+            }
+            let of = play.clone();
+            all.push(play.executor.spawn(async move {
+                let mut call = Call::start(&of, paths[n / 3 % 3], bytes.into()).await;
+                call.sender.close();
+                // A response, perhaps, and then the end.
+                assert!(call.status.is_some() || call.ended().await || call.ended().await, "{n}");
+            }));
+        }
+        for one in all {
+            one.await;
+        }
+        let mut good = Call::discover(&play, "relay-4", &endpoints(), &["search"]).await;
+        assert_eq!(lines(&decode(&good.take(&["search"]).await)).len(), 2);
+        play.book.until("only the good one", |_| play.shared.streams() == 1).await;
+    });
+}
