Hear servers' out-of-band load reports (ORCA) on streams of their own

A server with the label orca is kept a stream to; the queries in flight that it states go to /status beside those read from counters. The benches measure CPU a push and memory a stream.

--- a/benches/src/streams.rs
+++ b/benches/src/streams.rs
@@ -119,8 +119,32 @@
     }
 }
 
-/// Milliseconds from each order to the last ACK, and bytes a change and proxy.
-async fn run(proxies: u16, delta: bool, executor: Rc<LocalExecutor<'static>>) -> (Vec<f64>, f64) {
+/// What a run came to.
+struct Found {
+    /// ms from each order to the last ACK, in order of size.
+    times: Vec<f64>,
+    /// Bytes a change and proxy.
+    bytes: f64,
+    /// us of CPU a push, at both ends together.
+    cpu: f64,
+    /// KiB a stream, at both ends together.
+    memory: f64,
+}
+
+/// A figure of this process's status, in KiB.
+fn memory() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|figure| figure.parse().ok()).unwrap_or(0.0)
+}
+
+/// s of CPU that this process took so far.
+fn cpu() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
+}
+
+async fn run(proxies: u16, delta: bool, executor: Rc<LocalExecutor<'static>>) -> Found {
     let pull = Pull::new(&vec![Kind::Stream; usize::from(proxies)], CLASSES.len(), 1.5, 0.0);
     let book = Rc::new(Book {
         tables: RefCell::new(Tables::new(usize::from(proxies), CLASSES.len(), pull, 10)),
@@ -148,6 +172,7 @@
     rustix::net::listen(&listener, 4096).expect("a longer queue");
     let host = listener.local_addr().expect("an address");
     let mut tasks = vec![executor.spawn(async {})];
+    let bare = memory();
     let serving = serve(listener, shared.clone(), executor.clone());
     tasks.push(executor.spawn(async move { drop(serving.await) }));
     for n in 0..proxies {
@@ -162,7 +187,9 @@
         }
     };
     all(book.clone()).await;
+    let memory = (memory() - bare) / f64::from(proxies);
     let (mut times, bytes) = (Vec::new(), shared.counts.borrow().bytes);
+    let (pushes, begun_at) = (shared.counts.borrow().pushes, cpu());
     for n in 0..CHANGES {
         let begun = Instant::now();
         order(2.0 + n as f64);
@@ -171,18 +198,30 @@
         times.push(begun.elapsed().as_secs_f64() * 1e3);
     }
     let sent = (shared.counts.borrow().bytes - bytes) as f64;
+    let cpu = (cpu() - begun_at) * 1e6 / (shared.counts.borrow().pushes - pushes) as f64;
     times.sort_by(f64::total_cmp);
-    (times, sent / CHANGES as f64 / f64::from(proxies))
+    Found { times, bytes: sent / CHANGES as f64 / f64::from(proxies), cpu, memory }
 }
 
 pub fn measure() {
-    println!("variant               proxies  order to last ACK, ms: median  99th   bytes a change and proxy");
+    println!(
+        "variant               proxies  order to last ACK, ms: median  99th   bytes a change and proxy   \
+         us of CPU a push   KiB a stream"
+    );
     for (delta, name) in [(false, "state of the world"), (true, "incremental")] {
-        for proxies in [12, 120, 480] {
+        // The largest first, as memory that was let go is used again and would not be seen to grow.
+        for proxies in [480, 120, 12] {
             let executor = Rc::new(LocalExecutor::new());
-            let (times, bytes) = async_io::block_on(executor.run(run(proxies, delta, executor.clone())));
-            let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
-            println!("{name:20} {proxies:8} {:29.2} {:6.2} {bytes:10.0}", at(0.5), at(0.99));
+            let found = async_io::block_on(executor.run(run(proxies, delta, executor.clone())));
+            let at = |part: f64| found.times[((found.times.len() - 1) as f64 * part) as usize];
+            println!(
+                "{name:20} {proxies:8} {:29.2} {:6.2} {:26.0} {:18.1} {:14.1}",
+                at(0.5),
+                at(0.99),
+                found.bytes,
+                found.cpu,
+                found.memory
+            );
         }
     }
 }
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -275,7 +275,8 @@
     /// lives, and each would leave its counters behind.
     pub fn read_only(&mut self, targets: &BTreeMap<Target, oatlever_fetch::Place>) {
         self.counters.retain(|target, _| targets.contains_key(target));
-        self.sums.in_flight.retain(|server, _| targets.contains_key(&Target::Server(*server)));
+        let book = &self.book;
+        self.sums.in_flight.retain(|server, _| book.known(server).is_some());
     }
 
     pub fn checked(&mut self, server: Address, fine: bool) {
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -16,10 +16,11 @@
 use oatlever_roster::{Cache, Moment, Source};
 use oatlever_settings::{Settings, Tls, Xds};
 use oatlever_tables::View;
+use oatlever_xds::orca::{self, Gauges};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -37,6 +38,8 @@
     news: Event,
     /// Tables may have changed.
     pub changed: Rc<Event>,
+    /// A list was read.
+    listed: Rc<Event>,
     pub streams: RefCell<Option<Rc<Streams>>>,
 }
 
@@ -192,6 +195,21 @@
     }
 }
 
+/// What servers report by themselves.
+struct GaugeDesk(Rc<Pilot>);
+
+impl Gauges for GaugeDesk {
+    fn servers(&self) -> BTreeMap<Address, SocketAddrV4> {
+        let core = self.0.core.borrow();
+        let members = core.book.members().iter();
+        members.filter_map(|(server, member)| Some((*server, member.orca?))).collect()
+    }
+
+    fn in_flight(&self, server: Address, queries: f64) {
+        self.0.core.borrow_mut().sums.in_flight.insert(server, queries);
+    }
+}
+
 async fn rounds(pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
     let checks = Rc::new(Semaphore::new(CHECKS_AT_ONCE));
     loop {
@@ -299,6 +317,7 @@
         gate: gate.clone(),
         news: Event::new(),
         changed: Rc::new(Event::new()),
+        listed: Rc::new(Event::new()),
         streams: RefCell::default(),
     });
     let streams = settings.xds.as_ref().map(|xds| {
@@ -379,8 +398,16 @@
                     }
                 }
                 pilot.tell();
+                pilot.listed.notify(usize::MAX);
             }
         };
+        let gauges = orca::run(
+            GaugeDesk(pilot.clone()),
+            settings.reports.period,
+            pilot.listed.clone(),
+            executor.clone(),
+        );
+        tasks.push(executor.spawn(gauges));
         let times = (roster.period, roster.patience);
         let zones = settings.zones.clone();
         tasks.push(executor.spawn(oatlever_roster::run(source, zones, times, roster.most_bytes, sink)));
--- a/roster/src/book.rs
+++ b/roster/src/book.rs
@@ -22,14 +22,16 @@
     /// s, on the pilot's clock; 0 means long ago.
     pub started: f64,
     pub metrics: Option<SocketAddrV4>,
+    pub orca: Option<SocketAddrV4>,
     /// When a list last named it.
     seen: f64,
 }
 
 impl Member {
     /// All that a list says of it.
-    fn facts(&self) -> (u16, u8, Readiness, u64, u64, Option<SocketAddrV4>) {
-        (self.zone, self.kind, self.readiness, self.weight.to_bits(), self.started.to_bits(), self.metrics)
+    fn facts(&self) -> (u16, u8, Readiness, u64, u64, [Option<SocketAddrV4>; 2]) {
+        let places = [self.metrics, self.orca];
+        (self.zone, self.kind, self.readiness, self.weight.to_bits(), self.started.to_bits(), places)
     }
 }
 
@@ -68,6 +70,8 @@
     /// s since its start when it was written; none means long ago.
     age: Option<f64>,
     metrics: Option<SocketAddrV4>,
+    #[serde(default)]
+    orca: Option<SocketAddrV4>,
 }
 
 /// Servers remembered after the list dropped them; past this the longest gone are forgotten.
@@ -100,6 +104,7 @@
                 label: listed.started.or_else(|| self.known(&listed.server).and_then(|m| m.label)),
                 started,
                 metrics: listed.metrics,
+                orca: listed.orca,
                 seen: now,
             };
             let fresh = member.facts();
@@ -179,6 +184,7 @@
             label: m.label,
             age: (m.started > 0.0).then_some(now - m.started),
             metrics: m.metrics,
+            orca: m.orca,
         };
         let open = self.members.iter().filter(|(_, m)| m.readiness != Readiness::Gone);
         let shelf = Shelf { kept_at, servers: open.map(kept).collect() };
@@ -211,6 +217,7 @@
                 label: k.label,
                 started: k.age.map_or(0.0, |age| (now - away - age.max(0.0)).max(0.0)),
                 metrics: k.metrics,
+                orca: k.orca,
                 seen: now,
             };
             members.insert(Address { host: host.ip().octets(), port: host.port() }, member);
--- a/roster/src/document.rs
+++ b/roster/src/document.rs
@@ -1,6 +1,7 @@
 //! One document: `[{"targets": ["host:port"], "labels": {...}}]`, as Prometheus' HTTP and file service
 //! discovery publish it. Labels understood: `zone` (needed), `kind`, `weight`, `state` (`ready`,
-//! `draining`, `gone`), `started` (Unix time, s), `metrics` (host:port of its counters).
+//! `draining`, `gone`), `started` (Unix time, s), `metrics` (host:port of its counters),
+//! `orca` (host:port of its load reports).
 
 use oatlever::round::{Address, Readiness};
 use serde::Deserialize;
@@ -25,6 +26,7 @@
     /// Unix time, s, on the clock of whoever wrote the document.
     pub started: Option<f64>,
     pub metrics: Option<SocketAddrV4>,
+    pub orca: Option<SocketAddrV4>,
 }
 
 /// How much of a document could be read.
@@ -62,9 +64,12 @@
         "gone" => Readiness::Gone,
         other => return Err(format!("label state is {other:?}, not ready, draining or gone")),
     };
-    let metrics = match label("metrics") {
-        None => None,
-        Some(text) => Some(text.parse().map_err(|_| format!("label metrics is {text:?}, not address:port"))?),
+    let host = |name: &str| match label(name) {
+        None => Ok(None),
+        Some(text) => match text.parse::<SocketAddrV4>() {
+            Ok(host) => Ok(Some(host)),
+            Err(_) => Err(format!("label {name} is {text:?}, not address:port")),
+        },
     };
     Ok(Listed {
         server,
@@ -73,7 +78,8 @@
         readiness,
         weight: number("weight")?.filter(|weight| *weight > 0.0).unwrap_or(1.0),
         started: number("started")?.filter(|started| *started > 0.0),
-        metrics,
+        metrics: host("metrics")?,
+        orca: host("orca")?,
     })
 }
 
--- a/xds/src/lib.rs
+++ b/xds/src/lib.rs
@@ -1,13 +1,14 @@
 //! The xDS front: tables pushed to proxies on streams, and what they report back.
 //!
 //! `session` is the state machine of one stream, without I/O; `resources` writes listeners, routes, clusters
-//! and endpoints of what tables say; `load` reads load reports; `digest`
+//! and endpoints of what tables say; `load` reads load reports of proxies and `orca` those of servers; `digest`
 //! is what versions carry for proxies to check; `grpc` frames messages; `server` holds the
 //! sockets. Nothing here decides on routing: see `docs/notes/0002-xds.md`.
 
 pub mod digest;
 pub mod grpc;
 mod load;
+pub mod orca;
 mod resources;
 mod server;
 pub mod session;
