Judge tables before they go out: the guard's decisions

A package without I/O: checks on the union of all tables in use, verdicts in figures, the last safe table or the nearest safe one instead of a refused one, overrides and pins with an expiry, an index of load by server over all tables in use. Tests: a case for each check that no other refuses, random fleets against a plain recount, all tables of up to four servers searched for a nearer one. Not yet in the pilot's way.

--- /dev/null
+++ b/guard/src/checks.rs
@@ -0,0 +1,298 @@
+//! What may be wrong with a table. Each check stands by itself and tells its finding in figures.
+
+use crate::state::{Figures, Server, State};
+use crate::{part, Lines, Loads};
+use oatlever::round::Address;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Check {
+    /// A weight that is no finite number, or below zero.
+    NotFinite,
+    /// No line left, while servers serve.
+    Emptied,
+    /// Only cold servers, while warm ones serve.
+    ColdOnly,
+    /// Servers that serve were dropped, more than may be.
+    Cut,
+    /// A zone with servers that serve is in no table any more.
+    ZoneCut,
+    /// Too many queries move at once.
+    Moved,
+    /// A warm server past its capacity.
+    Overload,
+    /// A cold one past what it can take.
+    ColdOverload,
+    /// A class that must not run twice, with further tries.
+    Twice,
+    /// An operator's pin is broken.
+    Pinned,
+}
+
+impl Check {
+    pub fn name(self) -> &'static str {
+        match self {
+            Check::NotFinite => "not_finite",
+            Check::Emptied => "emptied",
+            Check::ColdOnly => "cold_only",
+            Check::Cut => "cut",
+            Check::ZoneCut => "zone_cut",
+            Check::Moved => "moved",
+            Check::Overload => "overload",
+            Check::ColdOverload => "cold_overload",
+            Check::Twice => "twice",
+            Check::Pinned => "pinned",
+        }
+    }
+}
+
+/// Something wrong, in figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    pub check: Check,
+    /// The servers concerned, the worst first; a few of them.
+    pub servers: Vec<Address>,
+    pub found: f64,
+    pub limit: f64,
+    /// s; the age of the oldest news it rests on.
+    pub age: f64,
+}
+
+/// Servers told in a finding.
+const TOLD: usize = 5;
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let (found, limit) = (self.found, self.limit);
+        match self.check {
+            Check::NotFinite => write!(f, "{found} weights are no finite numbers of 0 or more"),
+            Check::Emptied => write!(f, "no line is left while {found} servers serve"),
+            Check::ColdOnly => write!(f, "only cold servers are left while {found} warm ones serve"),
+            Check::Cut => {
+                write!(f, "{found:.3} of the queries taken from servers that serve, {limit:.3} at most")
+            }
+            Check::ZoneCut => {
+                write!(f, "zone {found} is in no table any more while {limit} of its servers serve")
+            }
+            Check::Moved => write!(f, "{found:.3} of the queries move at once, {limit:.3} at most"),
+            Check::Overload => write!(f, "{found:.2} queries a second for a server that may have {limit:.2}"),
+            Check::ColdOverload => {
+                write!(f, "{found:.2} queries a second for a cold server that may have {limit:.2}")
+            }
+            Check::Twice => write!(f, "further tries for class {found}, which must not run twice"),
+            Check::Pinned => write!(f, "{found:.3} of the queries, pinned to {limit:.3}"),
+        }?;
+        let told: Vec<String> = self.servers.iter().map(Address::to_string).collect();
+        if !told.is_empty() {
+            write!(f, " ({})", told.join(", "))?;
+        }
+        write!(f, ", by news {:.1} s old", self.age)
+    }
+}
+
+/// An operator's word on a server's part of every table that names it, until a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pin {
+    pub server: Address,
+    pub least: f64,
+    pub most: f64,
+    /// s, on the pilot's clock.
+    pub until: f64,
+}
+
+/// A table as it would be, beside what it is judged by.
+pub struct Sight<'a> {
+    pub state: &'a State,
+    pub figures: &'a Figures,
+    pub loads: &'a Loads,
+    pub pins: &'a [Pin],
+    pub table: u16,
+    /// As laid last, by parts.
+    pub before: &'a Lines,
+    /// As it was about `window` ago, by parts.
+    pub earlier: &'a Lines,
+    pub typical: Option<f64>,
+}
+
+/// What checks leave room for, as parts are sums of many.
+const SLACK: f64 = 1e-9;
+
+impl Sight<'_> {
+    fn server(&self, server: &Address) -> Option<&Server> {
+        self.state.servers.get(server)
+    }
+
+    fn is_open(&self, server: &Address) -> bool {
+        self.server(server).is_some_and(|s| self.state.is_open(s, self.figures))
+    }
+
+    fn finding(&self, check: Check, servers: Vec<Address>, found: f64, limit: f64) -> Finding {
+        let age = (self.state.now - self.state.measured_at).max(0.0);
+        Finding { check, servers: servers.into_iter().take(TOLD).collect(), found, limit, age }
+    }
+
+    /// Queries a second that may come to a server if the table gives it this part.
+    pub fn load(&self, server: &Address, part: f64) -> f64 {
+        let now = self.state.now;
+        let expected = |table| self.state.expected(table, self.figures);
+        let others = self.loads.others(self.table, server, now, expected);
+        others + part.max(self.loads.most(self.table, server, now)) * expected(self.table)
+    }
+
+    /// The part of this table that a server may have beside what other tables ask of it; none where nothing
+    /// is known of capacities, or nothing comes.
+    pub fn room(&self, server: &Address) -> Option<f64> {
+        let expected = |table| self.state.expected(table, self.figures);
+        let whole = expected(self.table);
+        let capacity = self.state.capacity(self.server(server)?, self.typical, self.figures)?;
+        let others = self.loads.others(self.table, server, self.state.now, expected);
+        (whole > 0.0).then(|| ((capacity - others) / whole).max(0.0))
+    }
+
+    /// The pin on a server that holds now.
+    pub fn pin(&self, server: &Address) -> Option<&Pin> {
+        self.pins.iter().find(|pin| pin.server == *server && pin.until > self.state.now)
+    }
+
+    pub fn not_finite(&self, proposed: &Lines) -> Option<Finding> {
+        let odd = proposed.iter().filter(|(_, weight)| !weight.is_finite() || **weight < 0.0);
+        let odd: Vec<Address> = odd.map(|(server, _)| *server).collect();
+        let found = odd.len() as f64;
+        (!odd.is_empty()).then(|| self.finding(Check::NotFinite, odd, found, 0.0))
+    }
+
+    /// Servers that could be sent to.
+    fn open(&self) -> impl Iterator<Item = (&Address, &Server)> {
+        self.state.servers.iter().filter(|(_, s)| self.state.is_open(s, self.figures))
+    }
+
+    pub fn emptied(&self, parts: &Lines) -> Option<Finding> {
+        // A table that never had lines is not emptied.
+        if !parts.is_empty() || self.before.is_empty() {
+            return None;
+        }
+        let open: Vec<Address> = self.open().map(|(server, _)| *server).collect();
+        let found = open.len() as f64;
+        (!open.is_empty()).then(|| self.finding(Check::Emptied, open, found, 0.0))
+    }
+
+    pub fn cold_only(&self, parts: &Lines) -> Option<Finding> {
+        let warm = |server: &Address| self.server(server).is_none_or(|s| self.state.is_warm(s));
+        if parts.is_empty() || parts.keys().any(warm) {
+            return None;
+        }
+        let warm: Vec<Address> =
+            self.open().filter(|(_, s)| self.state.is_warm(s)).map(|(server, _)| *server).collect();
+        let found = warm.len() as f64;
+        (!warm.is_empty()).then(|| self.finding(Check::ColdOnly, warm, found, 0.0))
+    }
+
+    /// What was taken from servers that serve by dropping them, since the table before and since earlier: a
+    /// row of small steps counts together.
+    pub fn cut(&self, parts: &Lines) -> Option<Finding> {
+        let lost = |then: &Lines| {
+            let gone = then.iter().filter(|(server, _)| part(parts, server) <= 0.0 && self.is_open(server));
+            let mut gone: Vec<(f64, Address)> = gone.map(|(server, part)| (*part, *server)).collect();
+            gone.sort_by(|a, b| b.0.total_cmp(&a.0));
+            (gone.iter().map(|(part, _)| part).sum::<f64>(), gone)
+        };
+        let worst = [lost(self.before), lost(self.earlier)].into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
+        let (found, gone) = worst?;
+        let servers = gone.into_iter().map(|(_, server)| server).collect();
+        (found > self.figures.cut_part + SLACK)
+            .then(|| self.finding(Check::Cut, servers, found, self.figures.cut_part))
+    }
+
+    /// A zone that had a part of this table and has none, nor a line in any other.
+    pub fn zone_cut(&self, parts: &Lines) -> Option<Finding> {
+        // That no line is left at all is found by itself.
+        if parts.is_empty() {
+            return None;
+        }
+        let mut had: BTreeMap<u16, f64> = BTreeMap::new();
+        for then in [self.before, self.earlier] {
+            let mut of: BTreeMap<u16, f64> = BTreeMap::new();
+            for (server, part) in then {
+                if let Some(s) = self.server(server) {
+                    *of.entry(s.zone).or_default() += part;
+                }
+            }
+            for (zone, part) in of {
+                let most = had.entry(zone).or_default();
+                *most = most.max(part);
+            }
+        }
+        let left: BTreeSet<u16> = parts.keys().filter_map(|server| Some(self.server(server)?.zone)).collect();
+        let lost =
+            had.into_iter().filter(|(zone, part)| *part > self.figures.zone_part && !left.contains(zone));
+        for (zone, _) in lost {
+            let mut servers = self.state.servers.iter().filter(|(_, s)| s.zone == zone);
+            if servers.clone().any(|(server, _)| self.loads.names(self.table, server)) {
+                continue;
+            }
+            let open: Vec<Address> = servers
+                .by_ref()
+                .filter(|(server, _)| self.is_open(server))
+                .map(|(server, _)| *server)
+                .collect();
+            if !open.is_empty() {
+                let count = open.len() as f64;
+                return Some(self.finding(Check::ZoneCut, open, f64::from(zone), count));
+            }
+        }
+        None
+    }
+
+    pub fn moved(&self, parts: &Lines) -> Option<Finding> {
+        let away = self.before.iter().filter(|(server, _)| self.is_open(server));
+        let away = away.map(|(server, old)| ((old - part(parts, server)).max(0.0), *server));
+        let mut away: Vec<(f64, Address)> = away.filter(|(moved, _)| *moved > 0.0).collect();
+        away.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let found: f64 = away.iter().map(|(moved, _)| moved).sum();
+        let servers = away.into_iter().map(|(_, server)| server).collect();
+        (found > self.figures.moved_part + SLACK)
+            .then(|| self.finding(Check::Moved, servers, found, self.figures.moved_part))
+    }
+
+    /// Servers that this table would push past what they may have: those whose part it raises, as what it
+    /// lowers or leaves is not its doing.
+    pub fn overloads(&self, parts: &Lines) -> Vec<Finding> {
+        let mut worst: BTreeMap<Check, (f64, Vec<Address>, f64, f64)> = BTreeMap::new();
+        for (server, new) in parts.iter().filter(|(server, new)| **new > part(self.before, server) + SLACK) {
+            let Some(s) = self.server(server) else { continue };
+            let Some(limit) = self.state.capacity(s, self.typical, self.figures) else { continue };
+            let load = self.load(server, *new);
+            if load <= limit * (1.0 + SLACK) {
+                continue;
+            }
+            let check = if self.state.is_warm(s) { Check::Overload } else { Check::ColdOverload };
+            let over = load / limit.max(f64::MIN_POSITIVE);
+            let entry = worst.entry(check).or_insert((0.0, Vec::new(), load, limit));
+            if over > entry.0 {
+                entry.1.insert(0, *server);
+                (entry.0, entry.2, entry.3) = (over, load, limit);
+            } else {
+                entry.1.push(*server);
+            }
+        }
+        let told = worst.into_iter();
+        told.map(|(check, (_, servers, load, limit))| self.finding(check, servers, load, limit)).collect()
+    }
+
+    pub fn pinned(&self, parts: &Lines) -> Option<Finding> {
+        self.pins.iter().filter(|pin| pin.until > self.state.now).find_map(|pin| {
+            let named = parts.contains_key(&pin.server) || self.before.contains_key(&pin.server);
+            // A pin holds nobody at a server that must be left.
+            let bound = self.server(&pin.server).is_none_or(|s| self.state.binds_away(s));
+            let found = part(parts, &pin.server);
+            let low = found < pin.least - SLACK && !bound;
+            let limit = if low { pin.least } else { pin.most };
+            let broken = named && (low || found > pin.most + SLACK);
+            broken.then(|| self.finding(Check::Pinned, vec![pin.server], found, limit))
+        })
+    }
+}
--- /dev/null
+++ b/guard/src/evidence.rs
@@ -0,0 +1,108 @@
+//! What was seen of servers and askers, gathered from reports and checks.
+
+use crate::state::{Listed, Server, State};
+use oatlever::round::{Address, HealthAnswer, ProxyQueries, Tries};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// s; what was proven fades to half in so long: software and neighbours change.
+const PROOF_HALF: f64 = 600.0;
+/// Part of the tries that may fail where the rest proves something.
+const FAILING: f64 = 0.05;
+/// Queries; a rate over fewer proves nothing.
+const FEW: f64 = 5.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    answered_at: Option<f64>,
+    checked: Option<(f64, bool)>,
+    proven: f64,
+    proven_at: f64,
+}
+
+impl Seen {
+    fn proven(&self, now: f64) -> f64 {
+        self.proven * 0.5_f64.powf((now - self.proven_at).max(0.0) / PROOF_HALF)
+    }
+}
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    pub zone: u16,
+    pub listed: Listed,
+    pub weight: f64,
+    pub started: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    servers: BTreeMap<Address, Seen>,
+    /// Queries a second of each asker, all classes together, as last reported.
+    rates: BTreeMap<u16, f64>,
+    heard_at: Option<f64>,
+}
+
+impl Evidence {
+    /// Takes in what a round brought.
+    pub fn hear(&mut self, tries: &[Tries], queries: &[ProxyQueries], health: &[HealthAnswer], now: f64) {
+        let mut met: BTreeMap<Address, (f64, f64, f64)> = BTreeMap::new();
+        for one in tries.iter().filter(|one| one.span > 0.0) {
+            let (rate, failed, answered) = met.entry(one.server).or_default();
+            *rate += (one.tries - one.failed).max(0.0) / one.span;
+            *failed += one.failed;
+            *answered += (one.tries - one.failed).max(0.0);
+        }
+        for (server, (rate, failed, answered)) in met {
+            let seen = self.servers.entry(server).or_default();
+            if answered > 0.0 {
+                seen.answered_at = Some(now);
+            }
+            let proves = answered >= FEW && failed <= FAILING * (answered + failed);
+            if proves && rate > seen.proven(now) {
+                (seen.proven, seen.proven_at) = (rate, now);
+            }
+        }
+        for answer in health {
+            self.servers.entry(answer.server).or_default().checked = Some((now, answer.fine));
+        }
+        if !queries.is_empty() {
+            let mut rates: BTreeMap<u16, f64> = BTreeMap::new();
+            for one in queries.iter().filter(|one| one.span > 0.0) {
+                *rates.entry(one.proxy).or_default() += one.came / one.span;
+            }
+            self.rates.extend(rates);
+            self.heard_at = Some(now);
+        }
+    }
+
+    /// Forgets servers that nobody lists or names any more.
+    pub fn keep_only(&mut self, known: &BTreeSet<Address>) {
+        self.servers.retain(|server, _| known.contains(server));
+    }
+
+    /// Queries a second of an asker; what the settings say where none was heard.
+    pub fn rate(&self, asker: u16, usual: f64) -> f64 {
+        self.rates.get(&asker).copied().unwrap_or(usual)
+    }
+
+    /// Writes servers and the age of the demand into a state.
+    pub fn tell(&self, listed: impl Iterator<Item = (Address, Entry)>, state: &mut State) {
+        let now = state.now;
+        state.measured_at = self.heard_at.unwrap_or(now);
+        state.servers = listed
+            .map(|(address, entry)| {
+                let seen = self.servers.get(&address).copied().unwrap_or_default();
+                let server = Server {
+                    zone: entry.zone,
+                    listed: entry.listed,
+                    weight: entry.weight,
+                    started: entry.started,
+                    answered_at: seen.answered_at,
+                    checked: seen.checked,
+                    proven: seen.proven(now),
+                };
+                (address, server)
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/guard/src/guard.rs
@@ -0,0 +1,284 @@
+//! The guard itself: what is in place, what was said of whom, and what goes out instead.
+
+use crate::checks::{Check, Finding, Pin, Sight};
+use crate::nearest::nearest;
+use crate::state::{Figures, State};
+use crate::{parts, Lines, Loads};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Says what it finds and lets everything out.
+    Report,
+    #[default]
+    Enforce,
+}
+
+/// What became of a table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Fine,
+    /// Let out, as the guard only reports.
+    Reported,
+    /// The last safe table stays.
+    Kept,
+    /// The nearest safe table is laid: part of the queries it moves, and part that there is room for.
+    Nearest {
+        moved: f64,
+        fits: f64,
+    },
+    /// Let out with its findings, as there is nothing better: a proxy is not to be left without a server.
+    NothingBetter,
+    /// No line is left and nobody serves: the truth goes out.
+    Empty,
+}
+
+impl Outcome {
+    pub fn name(&self) -> &'static str {
+        match self {
+            Outcome::Fine => "fine",
+            Outcome::Reported => "reported",
+            Outcome::Kept => "kept",
+            Outcome::Nearest { .. } => "nearest",
+            Outcome::NothingBetter => "nothing_better",
+            Outcome::Empty => "empty",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    pub table: u16,
+    /// s, on the pilot's clock.
+    pub at: f64,
+    pub findings: Vec<Finding>,
+    pub outcome: Outcome,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "table {}: {}", self.table, self.outcome.name())?;
+        if let Outcome::Nearest { moved, fits } = self.outcome {
+            write!(f, " (moves {moved:.3} of the queries, room for {fits:.3})")?;
+        }
+        for finding in &self.findings {
+            write!(f, "; {}: {finding}", finding.check.name())?;
+        }
+        Ok(())
+    }
+}
+
+/// A check that is not to hold for a while, by somebody's word.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Override {
+    pub check: Check,
+    /// Whose word it is.
+    pub by: String,
+    /// s, on the pilot's clock.
+    pub until: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Held {
+    /// As laid last, by parts.
+    lines: Lines,
+    /// As it was `window` to twice that ago, and the one to follow it.
+    earlier: Lines,
+    next: Lines,
+    turned_at: f64,
+}
+
+/// Verdicts kept for people to ask about; fine ones are not.
+const TOLD: usize = 500;
+
+#[derive(Clone, Debug)]
+pub struct Guard {
+    pub figures: Figures,
+    pub mode: Mode,
+    /// s; the longest that an older table may be in use.
+    way: f64,
+    pub loads: Loads,
+    tables: BTreeMap<u16, Held>,
+    pub pins: Vec<Pin>,
+    pub overrides: Vec<Override>,
+    /// Findings by check, and verdicts by outcome.
+    pub findings: BTreeMap<&'static str, u64>,
+    pub outcomes: BTreeMap<&'static str, u64>,
+    told: VecDeque<Verdict>,
+}
+
+impl Guard {
+    pub fn new(figures: Figures, mode: Mode, way: f64) -> Self {
+        Guard {
+            figures,
+            mode,
+            way,
+            loads: Loads::default(),
+            tables: BTreeMap::new(),
+            pins: Vec::new(),
+            overrides: Vec::new(),
+            findings: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            told: VecDeque::new(),
+        }
+    }
+
+    /// Everything wrong with a table, by parts, if it were laid now in place of the last.
+    fn findings(&self, state: &State, table: u16, proposed: &Lines, parts: &Lines) -> Vec<Finding> {
+        self.seen(state, table, |sight| {
+            let mut found: Vec<Finding> = [
+                sight.not_finite(proposed),
+                sight.emptied(parts),
+                sight.cold_only(parts),
+                sight.cut(parts),
+                sight.zone_cut(parts),
+                sight.moved(parts),
+                sight.pinned(parts),
+            ]
+            .into_iter()
+            .flatten()
+            .collect();
+            found.extend(sight.overloads(parts));
+            let lifted = |check| self.overrides.iter().any(|o| o.check == check && o.until > state.now);
+            found.retain(|finding| !lifted(finding.check));
+            found
+        })
+    }
+
+    fn seen<R>(&self, state: &State, table: u16, see: impl FnOnce(&Sight) -> R) -> R {
+        let none = Held::default();
+        let held = self.tables.get(&table).unwrap_or(&none);
+        see(&Sight {
+            state,
+            figures: &self.figures,
+            loads: &self.loads,
+            pins: &self.pins,
+            table,
+            before: &held.lines,
+            earlier: &held.earlier,
+            typical: state.typical(),
+        })
+    }
+
+    /// Judges a table and says what is to be laid: the proposal itself (its weights untouched), or another.
+    pub fn judge(&mut self, state: &State, table: u16, proposed: &Lines) -> (Verdict, Option<Lines>) {
+        let wanted = parts(proposed);
+        let findings = self.findings(state, table, proposed, &wanted);
+        let (outcome, instead) = self.decide(state, table, &wanted, &findings);
+        self.lay(state, table, instead.as_ref().unwrap_or(&wanted));
+        let verdict = Verdict { table, at: state.now, findings, outcome };
+        self.note(&verdict);
+        (verdict, instead)
+    }
+
+    fn decide(
+        &self,
+        state: &State,
+        table: u16,
+        wanted: &Lines,
+        findings: &[Finding],
+    ) -> (Outcome, Option<Lines>) {
+        if findings.is_empty() {
+            let was = self.tables.get(&table).is_some_and(|held| !held.lines.is_empty());
+            let empty = wanted.is_empty() && was;
+            return (if empty { Outcome::Empty } else { Outcome::Fine }, None);
+        }
+        if self.mode == Mode::Report {
+            return (Outcome::Reported, None);
+        }
+        // Odd weights alone are dropped: what is left was found fine.
+        if findings.iter().all(|finding| finding.check == Check::NotFinite) {
+            return (Outcome::Nearest { moved: 0.0, fits: 1.0 }, Some(wanted.clone()));
+        }
+        let before = self.tables.get(&table).map(|held| held.lines.clone()).unwrap_or_default();
+        if self.is_safe(state, table, &before) {
+            return (Outcome::Kept, Some(before));
+        }
+        let found = self.seen(state, table, |sight| nearest(sight, wanted));
+        if found.lines.is_empty() {
+            return (Outcome::NothingBetter, None);
+        }
+        (Outcome::Nearest { moved: found.moved, fits: found.fits }, Some(found.lines))
+    }
+
+    /// Whether what is in place may stay: it has lines, none for a server that must be left, nobody past
+    /// what it may have, and breaks no pin. A drain is never held back by a table that is kept.
+    fn is_safe(&self, state: &State, table: u16, lines: &Lines) -> bool {
+        let bound = |server| state.servers.get(server).is_none_or(|s| state.binds_away(s));
+        if lines.is_empty() || lines.keys().any(bound) {
+            return false;
+        }
+        self.seen(state, table, |sight| {
+            let over = |(server, part): (&_, &f64)| {
+                sight.room(server).is_some_and(|room| *part > room * (1.0 + 1e-9))
+            };
+            sight.cold_only(lines).is_none() && sight.pinned(lines).is_none() && !lines.iter().any(over)
+        })
+    }
+
+    /// A table is laid by parts, judged or not.
+    fn lay(&mut self, state: &State, table: u16, lines: &Lines) {
+        self.loads.lay(table, lines, state.now, self.way);
+        let held = self.tables.entry(table).or_default();
+        if state.now - held.turned_at >= self.figures.window {
+            held.earlier = std::mem::replace(&mut held.next, held.lines.clone());
+            held.turned_at = state.now;
+        }
+        for empty in [&mut held.earlier, &mut held.next].into_iter().filter(|then| then.is_empty()) {
+            empty.clone_from(&held.lines);
+        }
+        held.lines.clone_from(lines);
+    }
+
+    fn note(&mut self, verdict: &Verdict) {
+        *self.outcomes.entry(verdict.outcome.name()).or_default() += 1;
+        for finding in &verdict.findings {
+            *self.findings.entry(finding.check.name()).or_default() += 1;
+        }
+        if verdict.outcome != Outcome::Fine {
+            if self.told.len() == TOLD {
+                self.told.pop_front();
+            }
+            self.told.push_back(verdict.clone());
+        }
+    }
+
+    /// The last verdicts that were not fine, newest first.
+    pub fn told(&self) -> impl Iterator<Item = &Verdict> {
+        self.told.iter().rev()
+    }
+
+    /// The mode of further tries that may go out for a class.
+    pub fn tries(&mut self, table: u16, class: u16, once: bool, tries: u8, now: f64) -> u8 {
+        let lifted = self.overrides.iter().any(|o| o.check == Check::Twice && o.until > now);
+        if !once || tries == 0 || lifted {
+            return tries;
+        }
+        let finding = Finding {
+            check: Check::Twice,
+            servers: Vec::new(),
+            found: f64::from(class),
+            limit: 0.0,
+            age: 0.0,
+        };
+        let enforced = self.mode == Mode::Enforce;
+        let outcome = if enforced { Outcome::Nearest { moved: 0.0, fits: 1.0 } } else { Outcome::Reported };
+        self.note(&Verdict { table, at: now, findings: vec![finding], outcome });
+        if enforced {
+            0
+        } else {
+            tries
+        }
+    }
+
+    /// Words that have run out are forgotten.
+    pub fn expire(&mut self, now: f64) {
+        self.overrides.retain(|o| o.until > now);
+        self.pins.retain(|pin| pin.until > now);
+        self.loads.expire(now);
+    }
+}
--- /dev/null
+++ b/guard/src/nearest.rs
@@ -0,0 +1,94 @@
+//! The nearest safe table: the one that moves the fewest queries from what is in place.
+//!
+//! Each server may have a part up to its room. What is over some room must move, and what moves to where
+//! there is room breaks nothing more, so the least that can move is the sum of what is over: any table that
+//! moves just that is nearest. Among those, what moves is spread by the room that is left, so that nobody is
+//! piled upon.
+
+use crate::checks::Sight;
+use crate::{part, parts, Lines};
+use oatlever::round::Address;
+use std::collections::BTreeSet;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Nearest {
+    /// By parts; together 1, unless there is nobody.
+    pub lines: Lines,
+    /// Part of the queries that differ from what was in place.
+    pub moved: f64,
+    /// Part of the queries that all servers together have room for, 1 at most.
+    pub fits: f64,
+}
+
+/// Parts so small count as none left.
+const NOTHING: f64 = 1e-12;
+
+/// The nearest safe table to the one in place, where `proposed` (by parts) must not go out.
+pub fn nearest(sight: &Sight, proposed: &Lines) -> Nearest {
+    let state = sight.state;
+    let may = |server: &Address| state.servers.get(server).is_some_and(|s| !state.binds_away(s));
+    let open = |server: &Address| state.servers.get(server).is_some_and(|s| state.is_open(s, sight.figures));
+    let is_warm = |server: &Address| state.servers.get(server).is_some_and(|s| state.is_warm(s));
+    let kept = |lines: &Lines| -> Lines {
+        parts(&lines.iter().filter(|(server, _)| may(server)).map(|(s, part)| (*s, *part)).collect())
+    };
+    // Those who may take over what moves: in place or proposed first, then whoever serves.
+    let every: Lines = {
+        let serving = state.servers.iter().filter(|(server, _)| open(server));
+        parts(&serving.map(|(server, s)| (*server, s.weight)).collect())
+    };
+    let mut lines = kept(sight.before);
+    for other in [kept(proposed), every.clone()] {
+        if lines.is_empty() || !lines.keys().any(is_warm) && other.keys().any(is_warm) {
+            lines = other;
+        }
+    }
+    let known: BTreeSet<Address> = lines.keys().chain(kept(proposed).keys()).copied().collect();
+    let beyond: BTreeSet<Address> = every.keys().filter(|server| !known.contains(server)).copied().collect();
+
+    let room = |server: &Address| {
+        let pin = sight.pin(server);
+        let most = pin.map_or(1.0, |pin| pin.most);
+        sight.room(server).unwrap_or(1.0).min(most)
+    };
+    let least = |server: &Address| sight.pin(server).map_or(0.0, |pin| pin.least).min(room(server));
+    // Pins from below first: they are few, and take from all others alike.
+    let raised: f64 = lines.iter().map(|(server, part)| (least(server) - part).max(0.0)).sum();
+    if raised > 0.0 {
+        let free: f64 = lines.iter().map(|(server, part)| (part - least(server)).max(0.0)).sum();
+        let keep = (1.0 - raised / free.max(NOTHING)).max(0.0);
+        for (server, part) in &mut lines {
+            *part = least(server) + (*part - least(server)).max(0.0) * keep;
+        }
+    }
+    let uncut = lines.clone();
+    let mut over = 0.0;
+    for (server, part) in &mut lines {
+        let most = room(server);
+        over += (*part - most).max(0.0);
+        *part = part.min(most);
+    }
+    for takers in [&known, &beyond] {
+        if over <= NOTHING {
+            break;
+        }
+        let left = |lines: &Lines, server: &Address| (room(server) - part(lines, server)).max(0.0);
+        let whole: f64 = takers.iter().map(|server| left(&lines, server)).sum();
+        let given = over.min(whole);
+        if given > NOTHING {
+            for server in takers {
+                let more = left(&lines, server) / whole * given;
+                *lines.entry(*server).or_default() += more;
+            }
+            over -= given;
+        }
+    }
+    let fits = (1.0 - over).clamp(0.0, 1.0);
+    // Where not all fits, all are past what they may have by the same part; where nobody has any room at all,
+    // it stays as it was, as nobody may be left without a server.
+    let lines = if fits > NOTHING { parts(&lines) } else { parts(&uncut) };
+    let servers: BTreeSet<&Address> = lines.keys().chain(sight.before.keys()).collect();
+    let moved =
+        servers.iter().map(|server| (part(sight.before, server) - part(&lines, server)).max(0.0)).sum();
+    Nearest { lines, moved, fits }
+}
--- /dev/null
+++ b/guard/tests/guard.rs
@@ -0,0 +1,466 @@
+//! Verdicts against a plain recount, tables against a search through all of them, and the hard cases.
+
+use oatlever::round::Address;
+use oatlever_guard::{
+    parts, Check, Figures, Guard, Lines, Listed, Loads, Mode, Outcome, Override, Pin, Server, State,
+};
+use std::collections::BTreeSet;
+
+fn server(n: u8) -> Address {
+    Address { host: [10, 0, 0, n], port: 7000 }
+}
+
+fn ready(zone: u16) -> Server {
+    let (answered_at, checked) = (Some(1000.0), None);
+    Server { zone, listed: Listed::Ready, weight: 1.0, started: 0.0, answered_at, checked, proven: 10.0 }
+}
+
+/// So many warm servers in two zones by turns; each may have 20 queries a second.
+fn state(servers: u8, demand: f64) -> State {
+    State {
+        now: 1000.0,
+        servers: (0..servers).map(|n| (server(n), ready(u16::from(n % 2)))).collect(),
+        demand: [(0, demand), (1, demand)].into(),
+        measured_at: 1000.0,
+        cold_share: 0.2,
+        warm_within: 100.0,
+        fall_multiple: 2.5,
+        gone_binds: false,
+    }
+}
+
+fn lines(of: &[(u8, f64)]) -> Lines {
+    of.iter().map(|(n, weight)| (server(*n), *weight)).collect()
+}
+
+fn even(servers: std::ops::Range<u8>) -> Lines {
+    servers.map(|n| (server(n), 1.0)).collect()
+}
+
+const WAY: f64 = 5.0;
+
+/// A guard with a table in place for long.
+fn guard(state: &State, table: &Lines) -> Guard {
+    let mut guard = Guard::new(Figures::default(), Mode::Enforce, WAY);
+    let earlier = State { now: state.now - 50.0, measured_at: state.now - 50.0, ..state.clone() };
+    let mut fine = earlier.clone();
+    fine.servers.values_mut().for_each(|s| s.listed = Listed::Ready);
+    fine.demand.clear();
+    guard.judge(&fine, 0, table);
+    guard
+}
+
+fn checks(guard: &mut Guard, state: &State, table: u16, proposed: &Lines) -> (Vec<Check>, Outcome) {
+    let (verdict, _) = guard.judge(state, table, proposed);
+    (verdict.findings.iter().map(|finding| finding.check).collect(), verdict.outcome)
+}
+
+/// Every check has a case that it alone refuses: switched off, the table goes out.
+#[test]
+fn each_check_refuses_something_that_no_other_does() {
+    let calm = state(6, 10.0);
+    let mut cold = calm.clone();
+    cold.servers.get_mut(&server(5)).unwrap().started = 990.0;
+    let mut only_cold = cold.clone();
+    only_cold.demand.clear();
+    (0..4).for_each(|n| only_cold.servers.get_mut(&server(n)).unwrap().answered_at = None);
+    only_cold.servers.values_mut().for_each(|s| s.zone = 0);
+    let mut one_open = calm.clone();
+    (0..5).for_each(|n| one_open.servers.get_mut(&server(n)).unwrap().answered_at = None);
+    let busy = state(6, 60.0);
+    let mut cold_busy = busy.clone();
+    cold_busy.servers.get_mut(&server(5)).unwrap().started = 990.0;
+    let mut cut_off = calm.clone();
+    // A zone of one server that serves.
+    cut_off.servers.get_mut(&server(5)).unwrap().zone = 7;
+    let all = even(0..6);
+    let cases: [(Check, &State, Lines); 9] = [
+        (Check::NotFinite, &calm, [(server(0), f64::NAN)].into_iter().chain(even(1..6)).collect()),
+        (Check::Emptied, &one_open, Lines::new()),
+        (Check::ColdOnly, &only_cold, lines(&[(5, 1.0)])),
+        (Check::Cut, &calm, even(0..2)),
+        (Check::ZoneCut, &cut_off, even(0..5)),
+        (Check::Moved, &calm, lines(&[(0, 1e6), (1, 1.0), (2, 1.0), (3, 1.0), (4, 1.0), (5, 1.0)])),
+        (Check::Overload, &busy, lines(&[(0, 3.0), (1, 1.0), (2, 1.0), (3, 1.0), (4, 1.0), (5, 1.0)])),
+        (
+            Check::ColdOverload,
+            &cold_busy,
+            lines(&[(0, 1.0), (1, 1.0), (2, 1.0), (3, 1.0), (4, 1.0), (5, 1.2)]),
+        ),
+        (Check::Pinned, &calm, lines(&[(0, 1.0), (1, 1.0), (2, 1.0), (3, 1.0), (4, 1.0), (5, 2.0)])),
+    ];
+    for (check, state, proposed) in cases {
+        let mut guard = guard(state, &all);
+        guard.figures.moved_part = 0.8;
+        guard.pins.push(Pin {
+            server: server(5),
+            least: 0.0,
+            most: 0.2,
+            until: if check == Check::Pinned { 2000.0 } else { 0.0 },
+        });
+        let mut lifted = guard.clone();
+        let (found, outcome) = checks(&mut guard, state, 0, &proposed);
+        assert_eq!(found, [check], "{outcome:?}");
+        assert!(matches!(outcome, Outcome::Kept | Outcome::Nearest { .. }), "{check:?}: {outcome:?}");
+        lifted.overrides.push(Override { check, by: "a test".into(), until: 1001.0 });
+        let (found, outcome) = checks(&mut lifted, state, 0, &proposed);
+        assert!(found.is_empty() && matches!(outcome, Outcome::Fine | Outcome::Empty), "{check:?} {found:?}");
+        // An override runs out by itself.
+        let mut late = guard.clone();
+        late.overrides.push(Override { check, by: "a test".into(), until: 999.0 });
+        late.expire(state.now);
+        assert!(late.overrides.is_empty());
+    }
+    let mut guard = guard(&calm, &all);
+    assert_eq!((guard.tries(0, 1, true, 1, 1000.0), guard.tries(0, 1, false, 1, 1000.0)), (0, 1));
+    guard.overrides.push(Override { check: Check::Twice, by: "a test".into(), until: 1001.0 });
+    assert_eq!(guard.tries(0, 1, true, 1, 1000.0), 1);
+}
+
+/// The list calls nine of ten gone while answers say that they serve: they stay. Where they must be left by
+/// rule, or nothing shows that they serve, the list is followed.
+#[test]
+fn a_lying_list_is_told_from_a_true_one() {
+    let mut lying = state(10, 20.0);
+    (1..10).for_each(|n| lying.servers.get_mut(&server(n)).unwrap().listed = Listed::Gone);
+    let few = lines(&[(0, 1.0)]);
+    let (found, outcome) = checks(&mut guard(&lying, &even(0..10)), &lying, 0, &few);
+    assert!(found.contains(&Check::Cut) && outcome == Outcome::Kept, "{found:?} {outcome:?}");
+    let mut true_list = lying.clone();
+    (1..10).for_each(|n| true_list.servers.get_mut(&server(n)).unwrap().answered_at = Some(900.0));
+    true_list.demand.clear();
+    assert_eq!(checks(&mut guard(&true_list, &even(0..10)), &true_list, 0, &few).1, Outcome::Fine);
+    // Lost checks at the same moment do not outweigh answers; a check that failed after them does.
+    let mut checked = lying.clone();
+    for n in 1..10 {
+        let s = checked.servers.get_mut(&server(n)).unwrap();
+        (s.answered_at, s.checked) = (Some(995.0), Some((994.0, false)));
+    }
+    assert_eq!(checks(&mut guard(&checked, &even(0..10)), &checked, 0, &few).1, Outcome::Kept);
+    checked.servers.values_mut().for_each(|s| s.checked = Some((996.0, false)));
+    checked.demand.clear();
+    assert_eq!(checks(&mut guard(&checked, &even(0..10)), &checked, 0, &few).1, Outcome::Fine);
+    // Gone binds: the drain is kept, whoever answers.
+    lying.gone_binds = true;
+    lying.demand.clear();
+    assert_eq!(checks(&mut guard(&lying, &even(0..10)), &lying, 0, &few).1, Outcome::Fine);
+}
+
+#[test]
+fn a_truly_empty_pool_is_told_and_an_unknown_one_is_left_alone() {
+    let mut gone = state(4, 20.0);
+    for s in gone.servers.values_mut() {
+        (s.listed, s.answered_at) = (Listed::Gone, Some(980.0));
+    }
+    assert_eq!(checks(&mut guard(&gone, &even(0..4)), &gone, 0, &Lines::new()).1, Outcome::Empty);
+    // Just after a restart nothing is known of anybody: what the decisions say goes out.
+    let mut unknown = state(4, 20.0);
+    unknown.servers.values_mut().for_each(|s| (s.answered_at, s.proven) = (None, 0.0));
+    let mut fresh = Guard::new(Figures::default(), Mode::Enforce, WAY);
+    assert_eq!(checks(&mut fresh, &unknown, 0, &Lines::new()).1, Outcome::Fine);
+    assert_eq!(checks(&mut fresh, &unknown, 0, &even(0..4)).1, Outcome::Fine);
+    assert_eq!(checks(&mut fresh, &unknown, 0, &even(2..3)).1, Outcome::Fine);
+}
+
+/// A drain is let go whatever else is wrong: what is kept or laid instead has no line for it.
+#[test]
+fn a_refusal_never_holds_a_drain_back() {
+    let mut draining = state(6, 20.0);
+    draining.servers.get_mut(&server(0)).unwrap().listed = Listed::Draining;
+    let mut guard = guard(&draining, &even(0..6));
+    let (verdict, laid) = guard.judge(&draining, 0, &lines(&[(1, 1.0)]));
+    assert!(matches!(verdict.outcome, Outcome::Nearest { .. }), "{verdict}");
+    let laid = laid.unwrap();
+    assert_eq!(laid.keys().copied().collect::<Vec<_>>(), (1..6).map(server).collect::<Vec<_>>());
+    assert!(laid.values().all(|part| (part - 0.2).abs() < 1e-9), "{laid:?}");
+}
+
+/// Each step is small; together they empty a zone and take most of the pool.
+#[test]
+fn small_steps_count_together() {
+    let mut state = state(10, 20.0);
+    let mut guard = guard(&state, &even(0..10));
+    let mut refused = None;
+    for left in (1..10).rev() {
+        state.now += 2.0;
+        (state.measured_at, refused) = (state.now, Some(left));
+        state.servers.values_mut().for_each(|s| s.answered_at = Some(state.now));
+        if guard.judge(&state, 0, &even(0..left)).0.outcome != Outcome::Fine {
+            break;
+        }
+    }
+    assert_eq!(refused, Some(4), "half may go, and no more");
+}
+
+/// Two tables that are fine alone push a cold server over together; a table counts with the one that proxies
+/// still hold.
+#[test]
+fn tables_in_use_count_together() {
+    let mut state = state(6, 18.0);
+    state.servers.get_mut(&server(5)).unwrap().started = 970.0;
+    // 0.44 warm: it may have 11 queries a second.
+    let some = lines(&[(0, 1.0), (1, 1.0), (2, 1.0), (5, 1.5)]);
+    let mut guard = Guard::new(Figures::default(), Mode::Enforce, WAY);
+    assert_eq!(checks(&mut guard, &state, 0, &some), (vec![], Outcome::Fine));
+    let (found, outcome) = checks(&mut guard.clone(), &state, 1, &some);
+    assert_eq!(found, [Check::ColdOverload], "{outcome:?}");
+    // The first gives it up; until nobody can hold the old lines, they count.
+    let without = lines(&[(0, 1.0), (1, 1.0), (2, 1.0)]);
+    guard.judge(&state, 0, &without);
+    state.now += WAY - 0.1;
+    state.measured_at = state.now;
+    assert_eq!(checks(&mut guard.clone(), &state, 1, &some).0, [Check::ColdOverload]);
+    state.now += 0.2;
+    state.measured_at = state.now;
+    assert_eq!(checks(&mut guard, &state, 1, &some).0, []);
+}
+
+/// Old reports widen what is expected; everybody past their room is said so, and shared alike.
+#[test]
+fn where_nothing_fits_all_bear_alike() {
+    let mut over = state(4, 70.0);
+    over.demand.remove(&1);
+    let mut guard = guard(&over, &even(0..4));
+    let (verdict, laid) = guard.judge(&over, 0, &lines(&[(0, 9.0), (1, 1.0), (2, 1.0), (3, 1.0)]));
+    assert_eq!((verdict.outcome, laid), (Outcome::Kept, Some(parts(&even(0..4)))));
+    // Reports 10 s old: half as much again may come, 105 for servers that may have 80.
+    over.measured_at = 990.0;
+    let mut old = self::guard(&over, &even(0..4));
+    let (verdict, laid) = old.judge(&over, 0, &lines(&[(0, 9.0), (1, 1.0), (2, 1.0), (3, 1.0)]));
+    let Outcome::Nearest { fits, .. } = verdict.outcome else { panic!("{verdict}") };
+    assert!((fits - 80.0 / 105.0).abs() < 1e-9, "{fits}");
+    assert!(laid.unwrap().values().all(|part| (part - 0.25).abs() < 1e-9));
+    // One warm server left beside cold ones: what it has no room for is not piled on it.
+    let mut last = state(4, 30.0);
+    last.demand.remove(&1);
+    (1..4).for_each(|n| last.servers.get_mut(&server(n)).unwrap().started = 999.9);
+    let mut guard = self::guard(&last, &even(0..4));
+    let (verdict, laid) = guard.judge(&last, 0, &lines(&[(1, 1.0)]));
+    let laid = laid.unwrap();
+    assert!(matches!(verdict.outcome, Outcome::Nearest { fits: 1.0, .. }), "{verdict}");
+    assert!(laid[&server(0)] < 0.5 && laid.values().all(|part| *part > 0.16), "{laid:?}");
+    last.demand.insert(0, 60.0);
+    let (verdict, laid) = self::guard(&last, &even(0..4)).judge(&last, 0, &lines(&[(1, 1.0)]));
+    // All are past what they may have by the same part: 20 of 35 queries for the warm one.
+    assert!((laid.unwrap()[&server(0)] - 20.0 / 35.0).abs() < 0.01, "{verdict}");
+}
+
+#[test]
+fn a_guard_that_reports_lets_everything_out() {
+    let state = state(6, 20.0);
+    let mut guard = guard(&state, &even(0..6));
+    guard.mode = Mode::Report;
+    let (verdict, laid) = guard.judge(&state, 0, &Lines::new());
+    assert_eq!((verdict.outcome.clone(), laid), (Outcome::Reported, None));
+    assert!(verdict.to_string().contains("emptied: no line is left while 6 servers serve"), "{verdict}");
+    assert_eq!((guard.findings["emptied"], guard.outcomes["reported"], guard.told().count()), (1, 1, 1));
+}
+
+/// All that was laid, remembered plainly.
+#[derive(Default)]
+struct Recount(Vec<(f64, u16, Lines)>);
+
+impl Recount {
+    /// The greatest part in any version in use: the last, and those replaced within the way.
+    fn most(&self, table: u16, server: &Address, now: f64) -> f64 {
+        let of: Vec<_> = self.0.iter().filter(|(_, t, _)| *t == table).collect();
+        let in_use = of
+            .iter()
+            .enumerate()
+            .filter(|(place, _)| of.get(place + 1).is_none_or(|(replaced, _, _)| *replaced + WAY > now));
+        in_use.map(|(_, (_, _, lines))| lines.get(server).copied().unwrap_or(0.0)).fold(0.0, f64::max)
+    }
+}
+
+#[test]
+fn the_index_agrees_with_a_recount() {
+    let mut chance = fastrand::Rng::with_seed(3);
+    for _ in 0..60 {
+        let (mut loads, mut recount, mut now) = (Loads::default(), Recount::default(), 100.0);
+        for _ in 0..60 {
+            now += chance.f64() * 2.0;
+            let table = chance.u16(..4);
+            let proposed: Lines = (0..8).map(|n| (server(n), f64::from(chance.u8(..4)))).collect();
+            let laid = parts(&proposed);
+            loads.lay(table, &laid, now, WAY);
+            recount.0.push((now, table, laid));
+            let then = now + chance.f64() * 4.0;
+            for n in 0..8 {
+                for table in 0..4 {
+                    assert_eq!(loads.most(table, &server(n), then), recount.most(table, &server(n), then));
+                }
+                let others = loads.others(1, &server(n), then, |table| f64::from(table) + 1.0);
+                let plain: f64 = [0, 2, 3]
+                    .iter()
+                    .map(|t| recount.most(*t, &server(n), then) * (f64::from(*t) + 1.0))
+                    .sum();
+                assert!((others - plain).abs() < 1e-9);
+            }
+        }
+    }
+}
+
+/// On random fleets and tables: whatever goes out under an enforcing guard leaves nobody without a server
+/// while any serves, names none that must be left where the guard chose the lines, and pushes nobody past
+/// what it may have unless nothing fits; and a table with nothing wrong by a plain reading is let out as it is.
+#[test]
+fn what_goes_out_is_safe_by_a_plain_recount() {
+    let mut chance = fastrand::Rng::with_seed(5);
+    let (mut fine, mut refused) = (0, 0);
+    for _ in 0..1500 {
+        let count = chance.u8(2..8);
+        let mut state = state(count, 0.0);
+        state.demand = [(0, chance.f64() * 60.0), (1, chance.f64() * 30.0)].into();
+        state.gone_binds = chance.bool();
+        let mut guard = Guard::new(Figures::default(), Mode::Enforce, WAY);
+        let mut recount = Recount::default();
+        for _ in 0..8 {
+            state.now += chance.f64() * 3.0;
+            state.measured_at = state.now - chance.f64() * 4.0;
+            for s in state.servers.values_mut() {
+                match chance.u8(..12) {
+                    0 => s.listed = Listed::Draining,
+                    1 => s.listed = Listed::Gone,
+                    2 => s.started = state.now - chance.f64() * 50.0,
+                    3 => s.answered_at = None,
+                    4 | 5 => (s.listed, s.answered_at) = (Listed::Ready, Some(state.now)),
+                    _ => {}
+                }
+            }
+            let table = chance.u16(..2);
+            let proposed: Lines =
+                (0..count).map(|n| (server(n), f64::from(chance.u8(..6).saturating_sub(1)))).collect();
+            let (verdict, instead) = guard.judge(&state, table, &proposed);
+            let laid = instead.clone().unwrap_or_else(|| parts(&proposed));
+            let open = |server: &Address| state.is_open(&state.servers[server], &guard.figures);
+            if laid.is_empty() {
+                let was = recount
+                    .0
+                    .iter()
+                    .rev()
+                    .find(|(_, t, _)| *t == table)
+                    .is_some_and(|(_, _, l)| !l.is_empty());
+                assert!(!was || !state.servers.keys().any(open), "{verdict}: left without a server");
+            }
+            let typical = state.typical();
+            let load = |server: &Address, part: f64| {
+                let expected = |t: u16| state.expected(t, &guard.figures);
+                let own = part.max(recount.most(table, server, state.now)) * expected(table);
+                own + recount.most(1 - table, server, state.now) * expected(1 - table)
+            };
+            let limit = |server: &Address| {
+                state.capacity(&state.servers[server], typical, &guard.figures).unwrap_or(f64::INFINITY)
+            };
+            let last = recount
+                .0
+                .iter()
+                .rev()
+                .find(|(_, t, _)| *t == table)
+                .map(|(_, _, l)| l.clone())
+                .unwrap_or_default();
+            let grown = |server: &Address, part: f64| part > last.get(server).copied().unwrap_or(0.0) + 1e-9;
+            let over =
+                parts(&proposed).iter().any(|(s, p)| grown(s, *p) && load(s, *p) > limit(s) * (1.0 + 1e-6));
+            let told =
+                verdict.findings.iter().any(|f| matches!(f.check, Check::Overload | Check::ColdOverload));
+            assert_eq!(over, told, "{verdict}");
+            let wanted = parts(&proposed);
+            let away = last.iter().filter(|(s, _)| open(s));
+            let moved: f64 =
+                away.map(|(s, old)| (old - wanted.get(s).copied().unwrap_or(0.0)).max(0.0)).sum();
+            let emptied = wanted.is_empty() && !last.is_empty() && state.servers.keys().any(open);
+            for (plain, check) in [(moved > 0.9 + 1e-6, Check::Moved), (emptied, Check::Emptied)] {
+                assert_eq!(plain, verdict.findings.iter().any(|f| f.check == check), "{check:?} {verdict}");
+            }
+            for finding in &verdict.findings {
+                if matches!(finding.check, Check::Overload | Check::ColdOverload) {
+                    let worst = finding.servers[0];
+                    let part = parts(&proposed)[&worst];
+                    assert!(
+                        (load(&worst, part) - finding.found).abs() < 1e-6
+                            && (limit(&worst) - finding.limit).abs() < 1e-6
+                    );
+                }
+            }
+            match &verdict.outcome {
+                Outcome::Fine | Outcome::Empty => fine += 1,
+                outcome => {
+                    refused += 1;
+                    if !matches!(outcome, Outcome::NothingBetter) {
+                        assert!(laid.keys().all(|s| !state.binds_away(&state.servers[s])), "{verdict}");
+                    }
+                    if let Outcome::Nearest { fits, .. } = outcome {
+                        let whole = state.expected(table, &guard.figures);
+                        for (s, part) in &laid {
+                            let other = recount.most(1 - table, s, state.now)
+                                * state.expected(1 - table, &guard.figures);
+                            let past = part * whole + other > limit(s) * (1.0 + 1e-6);
+                            assert!(!past || *fits < 1.0 - 1e-9, "{verdict}: {s} past what it may have");
+                        }
+                    }
+                }
+            }
+            recount.0.push((state.now, table, laid));
+        }
+    }
+    assert!(fine > 3000 && refused > 1000, "{fine} fine, {refused} refused");
+}
+
+/// Up to four servers and twenty steps of weight: no safe table moves fewer queries than the one laid.
+#[test]
+fn no_safe_table_is_nearer() {
+    const STEPS: usize = 20;
+    let mut chance = fastrand::Rng::with_seed(9);
+    let mut compared = 0;
+    for _ in 0..400 {
+        let count = chance.u8(2..5);
+        let mut state = state(count, 0.0);
+        state.demand = [(0, chance.f64() * 20.0 * f64::from(count))].into();
+        for s in state.servers.values_mut() {
+            s.weight = f64::from(chance.u8(1..4));
+            s.proven = 5.0 * s.weight;
+            if chance.u8(..4) == 0 {
+                s.started = 1000.0 - chance.f64() * 80.0;
+            }
+        }
+        let place: Lines = (0..count).map(|n| (server(n), f64::from(chance.u8(1..6)))).collect();
+        let mut guard = guard(&state, &place);
+        let (verdict, laid) = guard.judge(&state, 0, &lines(&[(0, 1.0)]));
+        let (Outcome::Nearest { moved, fits }, Some(laid)) = (&verdict.outcome, laid) else { continue };
+        if *fits < 1.0 {
+            continue;
+        }
+        let before = parts(&place);
+        let whole = state.expected(0, &guard.figures);
+        let typical = state.typical();
+        let room: Vec<f64> = (0..count)
+            .map(|n| state.capacity(&state.servers[&server(n)], typical, &guard.figures).unwrap() / whole)
+            .collect();
+        // Every way to deal the steps out.
+        let mut best = f64::INFINITY;
+        let mut dealt = BTreeSet::from([vec![]]);
+        for _ in 0..count - 1 {
+            dealt = dealt
+                .into_iter()
+                .flat_map(|some: Vec<usize>| {
+                    let left = STEPS - some.iter().sum::<usize>();
+                    (0..=left).map(move |next| some.iter().copied().chain([next]).collect())
+                })
+                .collect();
+        }
+        for mut one in dealt {
+            one.push(STEPS - one.iter().sum::<usize>());
+            let part = |n: usize| one[n] as f64 / STEPS as f64;
+            if (0..usize::from(count)).all(|n| part(n) <= room[n]) {
+                let moves: f64 =
+                    (0..usize::from(count)).map(|n| (before[&server(n as u8)] - part(n)).max(0.0)).sum();
+                best = best.min(moves);
+            }
+        }
+        compared += 1;
+        assert!(*moved <= best + 1e-9, "{verdict}: {laid:?} moves {moved}, another {best}");
+        let sum: f64 = laid.values().sum();
+        assert!((sum - 1.0).abs() < 1e-9);
+    }
+    assert!(compared > 50, "{compared}");
+}
