Put the guard between what is decided and the fronts

Tables are reviewed before a version of them can be read: orders, rollbacks and releases alike, by one function instead of two. Settings /guard; oatlever guard check (offline), guard at explain, override, pin; metrics and log.

--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -220,6 +220,12 @@
         })
     }
 
+    /// What is in place before the guard was asked anything.
+    pub fn take_up(&mut self, table: u16, lines: &Lines, now: f64) {
+        let state = State { now, ..State::default() };
+        self.lay(&state, table, &parts(lines));
+    }
+
     /// A table is laid by parts, judged or not.
     fn lay(&mut self, state: &State, table: u16, lines: &Lines) {
         self.loads.lay(table, lines, state.now, self.way);
--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -1,5 +1,6 @@
 //! Commands to a running pilot: HTTP over a Unix socket that only its own user may use.
 
+use crate::guarding;
 use crate::pages::{self, Page};
 use crate::serve::Pilot;
 use async_executor::LocalExecutor;
@@ -8,10 +9,13 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
+use oatlever::round::Address;
+use oatlever_guard::{Check, Override, Pin};
 use oatlever_tables::{Kept, Refusal};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
+use std::net::SocketAddrV4;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
@@ -33,7 +37,7 @@
 }
 
 impl Command {
-    fn request(&self) -> (&'static str, String) {
+    pub fn request(&self) -> (&'static str, String) {
         match self {
             Command::List => ("GET", "/tables".to_string()),
             Command::Show { table, version } => ("GET", format!("/tables/{table}/{version}")),
@@ -44,10 +48,98 @@
     }
 }
 
-/// Sends a command and prints the answer. Errors: nobody is there, or the pilot refuses, with its reason.
-pub fn tell(socket: &Path, command: &Command) -> Result<(), String> {
+/// What the guard is asked or told.
+#[derive(Debug, Subcommand)]
+pub enum Word {
+    /// Counts, what holds for a while, and the last verdicts that were not fine.
+    Explain,
+    /// Lift a check for so many seconds, in somebody's name.
+    Override {
+        #[arg(value_parser = check)]
+        check: Check,
+        by: String,
+        seconds: f64,
+    },
+    /// Hold a server's part of every table that names it between two figures, for so many seconds.
+    Pin { server: SocketAddrV4, least: f64, most: f64, seconds: f64 },
+}
+
+/// A check by its name.
+fn check(text: &str) -> Result<Check, String> {
+    serde_json::from_value(Value::from(text)).map_err(|e| e.to_string())
+}
+
+/// s; a word holds no longer, as nobody remembers it then.
+const LONGEST_WORD: f64 = 86_400.0;
+/// Words that hold at once, of each kind.
+const WORDS: usize = 64;
+
+impl Word {
+    pub fn request(&self) -> (&'static str, String) {
+        match self {
+            Word::Explain => ("GET", "/guard".to_string()),
+            Word::Override { check, by, seconds } => {
+                ("POST", format!("/guard/override/{}/{by}/{seconds}", check.name()))
+            }
+            Word::Pin { server, least, most, seconds } => {
+                ("POST", format!("/guard/pin/{server}/{least}/{most}/{seconds}"))
+            }
+        }
+    }
+
+    fn read(method: &Method, parts: &[&str]) -> Option<Word> {
+        let number = |text: &&str| text.parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
+        Some(match (method, parts) {
+            (&Method::GET, ["guard"]) => Word::Explain,
+            (&Method::POST, ["guard", "override", name, by, seconds]) => {
+                Word::Override { check: check(name).ok()?, by: by.to_string(), seconds: number(seconds)? }
+            }
+            (&Method::POST, ["guard", "pin", server, least, most, seconds]) => Word::Pin {
+                server: server.parse().ok()?,
+                least: number(least)?,
+                most: number(most)?,
+                seconds: number(seconds)?,
+            },
+            _ => return None,
+        })
+    }
+}
+
+fn say(pilot: &Pilot, word: &Word) -> Result<Value, String> {
+    let mut core = pilot.core.borrow_mut();
+    let now = core.now();
+    let guard = &mut core.guarding.as_mut().ok_or("the settings have no /guard")?.guard;
+    guard.expire(now);
+    let (held, seconds) = match word {
+        Word::Explain => return Ok(guarding::explain(guard, now)),
+        Word::Override { seconds, .. } => (guard.overrides.len(), *seconds),
+        Word::Pin { least, most, .. } if least > most || *most > 1.0 => {
+            return Err("a pin is two parts of 1, the lower one first".to_string())
+        }
+        Word::Pin { seconds, .. } => (guard.pins.len(), *seconds),
+    };
+    if seconds > LONGEST_WORD || held >= WORDS {
+        return Err(format!("{WORDS} at once at most, each for {LONGEST_WORD} s at most"));
+    }
+    let until = now + seconds;
+    match word {
+        Word::Override { check, by, .. } => {
+            guard.overrides.push(Override { check: *check, by: by.clone(), until });
+        }
+        Word::Pin { server, least, most, .. } => {
+            let server = Address { host: server.ip().octets(), port: server.port() };
+            guard.pins.retain(|pin| pin.server != server);
+            guard.pins.push(Pin { server, least: *least, most: *most, until });
+        }
+        Word::Explain => {}
+    }
+    tracing::warn!(?word, "the guard was told");
+    Ok(guarding::explain(guard, now))
+}
+
+/// Sends a request and prints the answer. Errors: nobody is there, or the pilot refuses, with its reason.
+pub fn tell(socket: &Path, (method, path): (&str, String)) -> Result<(), String> {
     let told = |e: io::Error| format!("{}: {e}", socket.display());
-    let (method, path) = command.request();
     let mut stream = UnixStream::connect(socket).map_err(told)?;
     stream.set_read_timeout(Some(Duration::from_secs(10))).map_err(told)?;
     write!(stream, "{method} {path} HTTP/1.1\r\nhost: pilot\r\nconnection: close\r\n\r\n").map_err(told)?;
@@ -94,8 +186,13 @@
 fn page(pilot: &Pilot, request: &Request<Incoming>) -> Page {
     let path = request.uri().path().trim_start_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
-    let answer = command(request.method(), &parts).ok_or("no such command".to_string());
-    let (status, text) = match answer.and_then(|command| act(pilot, &command).map_err(|e| e.to_string())) {
+    let method = request.method();
+    let answer = match (command(method, &parts), Word::read(method, &parts)) {
+        (Some(command), _) => act(pilot, &command).map_err(|e| e.to_string()),
+        (_, Some(word)) => say(pilot, &word),
+        (None, None) => Err("no such command".to_string()),
+    };
+    let (status, text) = match answer {
         Ok(value) => (StatusCode::OK, value.to_string()),
         Err(what) => (StatusCode::BAD_REQUEST, what),
     };
@@ -155,8 +252,10 @@
                 differing.map(|server| (server.to_string(), json!([from.get(server), to.get(server)])));
             return Ok(Value::Object(lines.collect()));
         }
-        Command::Rollback { table, version } => core.tables.roll_back(*table, *version, now)?,
-        Command::Release { table } => core.tables.release(*table, now)?,
+        Command::Rollback { table, version } => {
+            core.by_hand(|tables, review| tables.roll_back(*table, *version, now, review))?
+        }
+        Command::Release { table } => core.by_hand(|tables, review| tables.release(*table, now, review))?,
     };
     drop(core);
     tracing::warn!(?command, version = changed, "tables changed by hand");
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -1,6 +1,7 @@
 //! The pilot without its sockets: what came in is gathered into a round, the decisions are called, and
 //! what they order goes to the tables. Times are seconds on the pilot's own clock, which nothing steps.
 
+use crate::guarding::Guarding;
 use crate::wakes::Wakes;
 use oatlever::balance::Balancer;
 use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream};
@@ -9,7 +10,7 @@
 use oatlever_reports::{Counters, Owner, Sums, Target, Text};
 use oatlever_roster::{Book, Document, Moment, Taken};
 use oatlever_settings::{checks, Settings};
-use oatlever_tables::{Kind, News, Pull, Tables, View};
+use oatlever_tables::{Kind, News, Pull, Review, Tables, Unreviewed, View};
 use oatlever_xds::Load;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -39,6 +40,7 @@
     began: Instant,
     balancer: Balancer,
     pub tables: Tables,
+    pub guarding: Option<Guarding>,
     pub presence: Presence,
     pub book: Book,
     pub sums: Sums,
@@ -100,6 +102,7 @@
                 seed,
             ),
             tables: Tables::new(settings.askers.len(), classes, pull, HISTORY),
+            guarding: Guarding::new(&settings),
             presence: Presence::new(&groups, settings.status.away_after),
             book: Book::default(),
             sums: Sums::new(settings.reports.period, names),
@@ -328,7 +331,13 @@
         let (version, news) = (self.tables.version(), News::of(&round));
         self.tables.open(now, self.counts.rounds, news);
         self.balancer.round(&round, &mut self.tables);
-        let chores = self.tables.close();
+        let chores = match &mut self.guarding {
+            None => self.tables.close(),
+            Some(guarding) => {
+                guarding.hear(&round, &self.book, &self.tables);
+                self.tables.close_reviewed(&mut guarding.review(&self.settings))
+            }
+        };
         for (after, number) in chores.wakes {
             self.wakes.ask(now + after, number);
         }
@@ -354,6 +363,18 @@
         self.counts.longest_round = self.counts.longest_round.max(took);
     }
 
+    /// Does something to tables by hand; the guard looks at what comes of it too.
+    pub fn by_hand<R>(&mut self, act: impl FnOnce(&mut Tables, &mut dyn Review) -> R) -> R {
+        let now = self.now();
+        match &mut self.guarding {
+            None => act(&mut self.tables, &mut Unreviewed),
+            Some(guarding) => {
+                guarding.state.now = now;
+                act(&mut self.tables, &mut guarding.review(&self.settings))
+            }
+        }
+    }
+
     /// When [`Core::step`] has something to do next, if nothing comes in before.
     pub fn next_at(&self) -> f64 {
         let others = [self.wakes.next_at(), self.presence.next_at()];
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -2,6 +2,8 @@
 
 mod control;
 mod core;
+mod drill;
+mod guarding;
 mod logs;
 mod metrics;
 mod pages;
@@ -49,6 +51,25 @@
         #[command(subcommand)]
         what: control::Command,
     },
+    /// The guard that looks at tables before they go out.
+    Guard {
+        #[command(subcommand)]
+        what: Guard,
+    },
+}
+
+#[derive(Subcommand)]
+enum Guard {
+    /// Judge a table offline: exit 0 where it may go out, 1 where not. The page for operators has the form.
+    Check { table: PathBuf, state: PathBuf },
+    /// Ask or tell a running pilot's guard.
+    At {
+        /// The pilot's `/control/socket`.
+        #[arg(long)]
+        socket: PathBuf,
+        #[command(subcommand)]
+        what: control::Word,
+    },
 }
 
 /// Exit status where the settings or the command line are wrong.
@@ -67,16 +88,29 @@
     })
 }
 
+fn failed(what: String) -> ExitCode {
+    eprintln!("oatlever: {what}");
+    ExitCode::FAILURE
+}
+
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Schema => {
             println!("{:#}", oatlever_settings::schema());
             Ok(())
         }
-        Command::Tables { socket, what } => control::tell(&socket, &what).map_err(|e| {
-            eprintln!("oatlever: {e}");
-            ExitCode::FAILURE
-        }),
+        Command::Tables { socket, what } => control::tell(&socket, what.request()).map_err(failed),
+        Command::Guard { what: Guard::At { socket, what } } => {
+            control::tell(&socket, what.request()).map_err(failed)
+        }
+        Command::Guard { what: Guard::Check { table, state } } => match drill::check(&table, &state) {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(ExitCode::FAILURE),
+            Err(e) => {
+                eprintln!("oatlever: {e}");
+                Err(ExitCode::from(WRONG))
+            }
+        },
         Command::Check { settings } => read(&settings).map(|s| {
             println!(
                 "{} zones, {} classes, {} askers: settings are right",
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -70,6 +70,14 @@
     count(r, "dns_proven", "Questions with a good cookie", front.counts.proven);
     count(r, "dns_strangers", "Questions from no asker of the settings", front.counts.strangers);
     measure(r, "dns_connections", "Open TCP connections", pilot.gate.open() as f64);
+    if let Some(guarding) = &core.guarding {
+        let told = |counts: &std::collections::BTreeMap<&'static str, u64>| -> Vec<(String, u64)> {
+            counts.iter().map(|(name, n)| (name.to_string(), *n)).collect()
+        };
+        let guard = &guarding.guard;
+        counts(r, ("guard_findings", "What the guard found wrong, by check", "check"), told(&guard.findings));
+        counts(r, ("guard_verdicts", "Verdicts of the guard, by outcome", "outcome"), told(&guard.outcomes));
+    }
     if let Some(streams) = &*pilot.streams.borrow() {
         let met = streams.counts.borrow();
         measure(r, "xds_streams", "Open discovery streams", streams.streams() as f64);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -82,6 +82,11 @@
         f64::from(self.dns.lifetime) + self.dns.overstay
     }
 
+    /// Seconds that a table may be in use after the next was laid: answers run out, streams are cut off.
+    pub fn longest_use(&self) -> f64 {
+        self.longest_hold().max(self.xds.as_ref().map_or(0.0, |xds| xds.patience))
+    }
+
     /// The deployment, as the decisions are told of it. Levels are not honoured by those who ask by DNS,
     /// so they are stated as ignored unless every asker is on a stream.
     pub fn site(&self) -> round::Site {
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -1,5 +1,6 @@
 //! What settings look like. The comments here are the schema's descriptions.
 
+use oatlever_guard::{Figures, Mode};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -32,6 +33,18 @@
     /// Commands to the running pilot, from this machine.
     #[serde(default)]
     pub control: Option<Control>,
+    /// A look at every table before it goes out; none without.
+    #[serde(default)]
+    pub guard: Option<Guard>,
+}
+
+/// What tables must keep to go out, and what becomes of those that don't.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Guard {
+    /// `report` says what it finds, `enforce` lays another table.
+    pub mode: Mode,
+    pub figures: Figures,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -36,6 +36,27 @@
     pub tries: u8,
 }
 
+/// Whoever looks at tables before they go out, and may put other lines in their place.
+pub trait Review {
+    /// Lines that are to go out instead; none where these may. `users` are those who use the table.
+    fn lines(&mut self, table: u16, lines: &Lines, users: &BTreeSet<u16>) -> Option<Lines>;
+    /// The mode of further tries of a class that is to go out.
+    fn tries(&mut self, table: u16, class: u16, tries: u8) -> u8;
+}
+
+/// Lets everything out.
+pub struct Unreviewed;
+
+impl Review for Unreviewed {
+    fn lines(&mut self, _: u16, _: &Lines, _: &BTreeSet<u16>) -> Option<Lines> {
+        None
+    }
+
+    fn tries(&mut self, _: u16, _: u16, tries: u8) -> u8 {
+        tries
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Table {
     lines: BTreeMap<Address, f64>,
@@ -47,6 +68,8 @@
     versions: Versions,
     /// The version it was rolled back to, and its lines then.
     frozen: Option<(u64, Lines)>,
+    /// Readers see other lines than the decisions', by a review.
+    replaced: bool,
 }
 
 /// What is asked of the program itself in a round, beside tables.
@@ -65,8 +88,8 @@
     now: f64,
     round: u64,
     news: News,
-    /// Lines touched: the weight before.
-    before: BTreeMap<(u16, Address), f64>,
+    /// Tables with lines touched.
+    touched: BTreeSet<u16>,
     /// Tables with levels touched.
     turned: BTreeSet<u16>,
     /// Lines and levels to each asker.
@@ -139,41 +162,24 @@
     /// Ends it: indexes, the version, the channel's book and the history follow the orders. Returns what
     /// the program itself is to do.
     pub fn close(&mut self) -> Chores {
+        self.close_reviewed(&mut Unreviewed)
+    }
+
+    /// The same, with a review of each table that changes before anybody can read it. Tables that are frozen
+    /// or were replaced by a review are looked at in every round: what they show may have drained or warmed.
+    pub fn close_reviewed(&mut self, review: &mut dyn Review) -> Chores {
         let open = std::mem::take(&mut self.open);
-        let mut moved: BTreeMap<u16, Vec<(Address, f64, f64)>> = BTreeMap::new();
-        for ((table, server), before) in &open.before {
-            let after = self.effective(*table, *server);
-            if after != *before {
-                moved.entry(*table).or_default().push((*server, *before, after));
-            }
-        }
-        if !moved.is_empty() || !open.turned.is_empty() {
-            self.version += 1;
-        }
-        let changed: BTreeSet<u16> = moved.keys().chain(&open.turned).copied().collect();
-        // Frozen tables follow what has drained or warmed, whether or not anything was ordered for them.
-        let frozen = self.tables.iter().enumerate().filter(|(_, held)| held.frozen.is_some());
-        let frozen: Vec<u16> = frozen.map(|(place, _)| place as u16).collect();
-        for table in frozen.into_iter().filter(|table| !changed.contains(table)) {
-            if self.usable(table) != self.tables[usize::from(table)].index {
-                self.lay(table, open.now);
-            }
-        }
-        for table in changed {
-            let index = self.usable(table);
-            let held = &mut self.tables[usize::from(table)];
-            held.index = index;
-            held.version = self.version;
-            let lines = held.index.lines().iter().map(|line| (line.server, line.weight)).collect();
-            held.versions.keep(Kept { version: self.version, at: open.now, lines }, self.kept);
-            let (version, at, round, news) = (self.version, open.now, open.round, open.news);
-            let levels = if open.turned.contains(&table) { held.levels.clone() } else { BTreeMap::new() };
-            let lines = moved.remove(&table).unwrap_or_default();
-            self.history.push(Change { version, at, round, news, table, lines, levels });
-        }
+        let held = self.tables.iter().enumerate().filter(|(_, held)| held.frozen.is_some() || held.replaced);
+        let mut tables: BTreeSet<u16> = held.map(|(place, _)| place as u16).collect();
+        tables.extend(open.touched.iter().chain(&open.turned));
+        let laid = self.lay(&tables, &open, review);
         for (asker, lines) in &open.cost {
             self.pull.order(*asker, *lines, open.mark, self.version, open.now);
         }
+        // What moved without an order is under way to its users like any change.
+        for (table, moved) in laid.into_iter().filter(|(table, _)| !open.touched.contains(table)) {
+            self.charge_users(table, moved, open.now);
+        }
         std::mem::take(&mut self.chores)
     }
 
@@ -202,65 +208,89 @@
     }
 
     /// Freezes a table at an old version. Returns the version that brings it.
-    pub fn roll_back(&mut self, table: u16, version: u64, now: f64) -> Result<u64, Refusal> {
+    pub fn roll_back(
+        &mut self,
+        table: u16,
+        version: u64,
+        now: f64,
+        review: &mut dyn Review,
+    ) -> Result<u64, Refusal> {
         let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
         let lines = held.versions.find(version).ok_or(Refusal::NoVersion)?.lines.clone();
         if lines.is_empty() {
             return Err(Refusal::Empty);
         }
         held.frozen = Some((version, lines));
-        Ok(self.lay(table, now))
+        Ok(self.lay_by_hand(table, now, review))
     }
 
     /// Lets a frozen table follow the decisions again. Returns the version that brings it.
-    pub fn release(&mut self, table: u16, now: f64) -> Result<u64, Refusal> {
+    pub fn release(&mut self, table: u16, now: f64, review: &mut dyn Review) -> Result<u64, Refusal> {
         let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
         held.frozen.take().ok_or(Refusal::NotFrozen)?;
-        Ok(self.lay(table, now))
+        Ok(self.lay_by_hand(table, now, review))
+    }
+
+    /// Lays a table outside of the decisions' orders.
+    fn lay_by_hand(&mut self, table: u16, now: f64, review: &mut dyn Review) -> u64 {
+        let open = Open { now, ..Open::default() };
+        for (table, moved) in self.lay(&[table].into(), &open, review) {
+            self.charge_users(table, moved, now);
+        }
+        self.version
+    }
+
+    fn charge_users(&mut self, table: u16, lines: usize, now: f64) {
+        for asker in &self.tables[usize::from(table)].users {
+            self.pull.order(*asker, lines as f64, None, self.version, now);
+        }
     }
 
     /// What may be used of a table: the decisions' lines, or those it is frozen at; none that is withdrawn.
-    fn usable(&self, table: u16) -> Index {
+    fn usable(&self, table: u16) -> Lines {
         let held = &self.tables[usize::from(table)];
         let open = held.lines.iter().filter(|(server, _)| !self.withdrawn.contains(server));
         let own: Lines = open.map(|(server, weight)| (*server, *weight)).collect();
-        Index::of(match &held.frozen {
+        match &held.frozen {
             Some((_, old)) => frozen(old, &own, |server| self.cold.contains(server)),
             None => own,
-        })
-    }
-
-    /// Lays a table anew outside of the decisions' orders, as a version of its own; what moves is under
-    /// way to its users like any change.
-    fn lay(&mut self, table: u16, now: f64) -> u64 {
-        let index = self.usable(table);
-        let held = &mut self.tables[usize::from(table)];
-        let weights = |index: &Index| -> Lines {
-            index.lines().iter().map(|line| (line.server, line.weight)).collect()
-        };
-        let (before, after) = (weights(&held.index), weights(&index));
-        let servers: BTreeSet<Address> = before.keys().chain(after.keys()).copied().collect();
-        let weight = |lines: &Lines, server: &Address| lines.get(server).copied().unwrap_or(0.0);
-        let moved = servers.iter().map(|server| (*server, weight(&before, server), weight(&after, server)));
-        let moved: Vec<_> = moved.filter(|(_, before, after)| before != after).collect();
-        self.version += 1;
-        held.index = index;
-        held.version = self.version;
-        held.versions.keep(Kept { version: self.version, at: now, lines: after }, self.kept);
-        for asker in &held.users {
-            self.pull.order(*asker, moved.len() as f64, None, self.version, now);
         }
-        let (version, round, news) = (self.version, 0, News::default());
-        self.history.push(Change {
-            version,
-            at: now,
-            round,
-            news,
-            table,
-            lines: moved,
-            levels: BTreeMap::new(),
-        });
-        version
+    }
+
+    /// Makes tables what readers are to see from now on, all as one version, if anything differs. Returns
+    /// those that changed, with the number of lines that moved.
+    fn lay(&mut self, tables: &BTreeSet<u16>, open: &Open, review: &mut dyn Review) -> Vec<(u16, usize)> {
+        let (mut laid, next) = (Vec::new(), self.version + 1);
+        for table in tables {
+            if usize::from(*table) >= self.tables.len() {
+                continue;
+            }
+            let own = self.usable(*table);
+            let held = &mut self.tables[usize::from(*table)];
+            let instead = review.lines(*table, &own, &held.users);
+            held.replaced = instead.is_some();
+            let index = Index::of(instead.unwrap_or(own));
+            let turned = open.turned.contains(table);
+            for (class, (_, tries)) in held.levels.iter_mut().filter(|_| turned) {
+                *tries = review.tries(*table, *class, *tries);
+            }
+            let moved = moved(&held.index, &index);
+            if moved.is_empty() && !turned {
+                continue;
+            }
+            laid.push((*table, moved.len()));
+            held.index = index;
+            held.version = next;
+            let lines = held.index.lines().iter().map(|line| (line.server, line.weight)).collect();
+            held.versions.keep(Kept { version: next, at: open.now, lines }, self.kept);
+            let levels = if turned { held.levels.clone() } else { BTreeMap::new() };
+            let (at, round, news) = (open.now, open.round, open.news);
+            self.history.push(Change { version: next, at, round, news, table: *table, lines: moved, levels });
+        }
+        if !laid.is_empty() {
+            self.version = next;
+        }
+        laid
     }
 
     /// An answer built from what is held now goes out to an asker.
@@ -291,18 +321,6 @@
         &mut self.tables[place]
     }
 
-    /// What a line weighs for a reader.
-    fn effective(&self, table: u16, server: Address) -> f64 {
-        let held = self.tables.get(usize::from(table)).and_then(|held| held.lines.get(&server));
-        held.copied().filter(|_| !self.withdrawn.contains(&server)).unwrap_or(0.0)
-    }
-
-    /// Notes what a line weighed before this round.
-    fn touch(&mut self, table: u16, server: Address) {
-        let before = self.effective(table, server);
-        self.open.before.entry((table, server)).or_insert(before);
-    }
-
     fn charge(&mut self, table: u16) {
         let users = &self.tables[usize::from(table)].users;
         for asker in users {
@@ -311,9 +329,18 @@
     }
 }
 
+/// Server, weight before, weight after, of all lines that differ.
+fn moved(before: &Index, after: &Index) -> Vec<(Address, f64, f64)> {
+    let mut lines: BTreeMap<Address, (f64, f64)> = BTreeMap::new();
+    before.lines().iter().for_each(|line| lines.entry(line.server).or_default().0 = line.weight);
+    after.lines().iter().for_each(|line| lines.entry(line.server).or_default().1 = line.weight);
+    let differing = lines.into_iter().filter(|(_, (before, after))| before != after);
+    differing.map(|(server, (before, after))| (server, before, after)).collect()
+}
+
 impl Writer for Tables {
     fn weigh(&mut self, table: u16, server: Address, weight: f64) {
-        self.touch(table, server);
+        self.open.touched.insert(table);
         let lines = &mut self.table(table).lines;
         if weight > 0.0 {
             lines.insert(server, weight);
@@ -324,10 +351,7 @@
     }
 
     fn clear(&mut self, table: u16) {
-        let servers: Vec<Address> = self.table(table).lines.keys().copied().collect();
-        for server in servers {
-            self.touch(table, server);
-        }
+        self.open.touched.insert(table);
         let held = self.table(table);
         held.lines.clear();
         held.levels.clear();
@@ -349,7 +373,7 @@
     fn withdraw(&mut self, server: Address, out: bool) {
         let holding = (0..self.tables.len()).filter(|place| self.tables[*place].lines.contains_key(&server));
         for place in holding.map(|place| place as u16).collect::<Vec<_>>() {
-            self.touch(place, server);
+            self.open.touched.insert(place);
             self.charge(place);
         }
         if out {
--- a/tables/tests/tables.rs
+++ b/tables/tests/tables.rs
@@ -2,7 +2,7 @@
 //! every answer that was handed out.
 
 use oatlever::round::{Address, Writer};
-use oatlever_tables::{frozen, Index, Kind, Lines, News, Pull, Refusal, Spread, Tables};
+use oatlever_tables::{frozen, Index, Kind, Lines, News, Pull, Refusal, Spread, Tables, Unreviewed};
 use quickcheck::{quickcheck, Arbitrary, Gen, TestResult};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -278,10 +278,10 @@
     let held = |tables: &Tables| -> Vec<(Address, f64)> { lines(tables, 0).unwrap() };
     order(&mut tables, 1, &[(1, 1.0), (2, 3.0)]);
     order(&mut tables, 2, &[(2, 1.0), (3, 2.0)]);
-    assert_eq!(tables.roll_back(0, 7, 2.5), Err(Refusal::NoVersion));
-    assert_eq!(tables.roll_back(9, 1, 2.5), Err(Refusal::NoTable));
-    assert_eq!(tables.release(0, 2.5), Err(Refusal::NotFrozen));
-    assert_eq!(tables.roll_back(0, 1, 2.5), Ok(3));
+    assert_eq!(tables.roll_back(0, 7, 2.5, &mut Unreviewed), Err(Refusal::NoVersion));
+    assert_eq!(tables.roll_back(9, 1, 2.5, &mut Unreviewed), Err(Refusal::NoTable));
+    assert_eq!(tables.release(0, 2.5, &mut Unreviewed), Err(Refusal::NotFrozen));
+    assert_eq!(tables.roll_back(0, 1, 2.5, &mut Unreviewed), Ok(3));
     assert_eq!((held(&tables), tables.frozen_at(0)), (vec![(server(1), 0.25), (server(2), 0.75)], Some(1)));
     assert_eq!(tables.pull.receipts(1e9).len(), 0, "nothing was acknowledged yet");
     order(&mut tables, 3, &[(1, 5.0)]);
@@ -293,7 +293,7 @@
     tables.spare([server(1)].into());
     order(&mut tables, 6, &[]);
     assert_eq!(held(&tables), [(server(1), 0.1), (server(2), 0.9)]);
-    let version = tables.release(0, 7.0).unwrap();
+    let version = tables.release(0, 7.0, &mut Unreviewed).unwrap();
     assert_eq!(held(&tables), [(server(1), 1.0), (server(2), 1.0), (server(3), 8.0)]);
     assert_eq!(tables.versions(0).unwrap().all().next_back().unwrap().version, version);
 }
--- a/xds/tests/front/streams.rs
+++ b/xds/tests/front/streams.rs
@@ -5,6 +5,7 @@
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use hyper::body::Bytes;
 use oatlever::round::Writer;
+use oatlever_tables::Unreviewed;
 use oatlever_xds::grpc::{framed, Code};
 use oatlever_xds::{methods, Desk, Load};
 use prost::Message;
@@ -341,7 +342,7 @@
         play.book.order(|tables| tables.weigh(0, server(0), 9.0));
         let newer = call.next().await;
         assert_ne!(lines(&decode(&newer)), first);
-        let back = play.book.0.tables.borrow_mut().roll_back(0, 1, play.book.now()).unwrap();
+        let back = play.book.0.tables.borrow_mut().roll_back(0, 1, play.book.now(), &mut Unreviewed).unwrap();
         play.book.0.changed.notify(usize::MAX);
         play.book.order(|tables| tables.weigh(0, server(1), 8.0));
         call.sender.send(request("", &newer.type_url, &["search"], &newer.nonce)).await.unwrap();
