--- a/guard/src/checks.rs
+++ b/guard/src/checks.rs
@@ -17,7 +17,7 @@
     Emptied,
     /// Only cold servers, while warm ones serve.
     ColdOnly,
-    /// Servers that serve were dropped, more than may be.
+    /// Servers of a zone that serve were dropped, more than may be.
     Cut,
     /// A zone with servers that serve is in no table any more.
     ZoneCut,
@@ -27,7 +27,7 @@
     Overload,
     /// A cold one past what it can take.
     ColdOverload,
-    /// A class that must not run twice, with further tries.
+    /// A class that must not run twice, with further tries where it may have run.
     Twice,
     /// An operator's pin is broken.
     Pinned,
@@ -73,7 +73,7 @@
             Check::Emptied => write!(f, "no line is left while {found} servers serve"),
             Check::ColdOnly => write!(f, "only cold servers are left while {found} warm ones serve"),
             Check::Cut => {
-                write!(f, "{found:.3} of the queries taken from servers that serve, {limit:.3} at most")
+                write!(f, "{found:.3} of a zone's queries taken from servers that serve, {limit:.3} at most")
             }
             Check::ZoneCut => {
                 write!(f, "zone {found} is in no table any more while {limit} of its servers serve")
@@ -83,7 +83,9 @@
             Check::ColdOverload => {
                 write!(f, "{found:.2} queries a second for a cold server that may have {limit:.2}")
             }
-            Check::Twice => write!(f, "further tries for class {found}, which must not run twice"),
+            Check::Twice => {
+                write!(f, "further tries after any failure for class {found}, which must not run twice")
+            }
             Check::Pinned => write!(f, "{found:.3} of the queries, pinned to {limit:.3}"),
         }?;
         let told: Vec<String> = self.servers.iter().map(Address::to_string).collect();
@@ -192,17 +194,35 @@
     }
 
     /// What was taken from servers that serve by dropping them, since the table before and since earlier: a
-    /// row of small steps counts together.
+    /// row of small steps counts together. Zone by zone, and only in zones that the table still goes to: that a
+    /// spill ends is no cut. A zone given up altogether is judged over all tables.
     pub fn cut(&self, parts: &Lines) -> Option<Finding> {
-        let lost = |then: &Lines| {
-            let gone = then.iter().filter(|(server, _)| part(parts, server) <= 0.0 && self.is_open(server));
-            let mut gone: Vec<(f64, Address)> = gone.map(|(server, part)| (*part, *server)).collect();
-            gone.sort_by(|a, b| b.0.total_cmp(&a.0));
-            (gone.iter().map(|(part, _)| part).sum::<f64>(), gone)
-        };
-        let worst = [lost(self.before), lost(self.earlier)].into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
-        let (found, gone) = worst?;
-        let servers = gone.into_iter().map(|(_, server)| server).collect();
+        let zones: BTreeSet<u16> =
+            parts.keys().filter_map(|server| Some(self.server(server)?.zone)).collect();
+        let mut worst: Option<(f64, Vec<(f64, Address)>)> = None;
+        for then in [self.before, self.earlier] {
+            let mut had: BTreeMap<u16, (f64, Vec<(f64, Address)>)> = BTreeMap::new();
+            for (server, old) in then {
+                let Some(zone) = self.server(server).map(|s| s.zone).filter(|zone| zones.contains(zone))
+                else {
+                    continue;
+                };
+                let (whole, lost) = had.entry(zone).or_default();
+                *whole += old;
+                if part(parts, server) <= 0.0 && self.is_open(server) {
+                    lost.push((*old, *server));
+                }
+            }
+            for (whole, lost) in had.into_values().filter(|(whole, _)| *whole > self.figures.zone_part) {
+                let found = lost.iter().map(|(old, _)| old).sum::<f64>() / whole;
+                if worst.as_ref().is_none_or(|(most, _)| found > *most) {
+                    worst = Some((found, lost));
+                }
+            }
+        }
+        let (found, mut lost) = worst?;
+        lost.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let servers = lost.into_iter().map(|(_, server)| server).collect();
         (found > self.figures.cut_part + SLACK)
             .then(|| self.finding(Check::Cut, servers, found, self.figures.cut_part))
     }
--- a/guard/src/evidence.rs
+++ b/guard/src/evidence.rs
@@ -13,7 +13,9 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
+    listed: Option<(Listed, f64)>,
     answered_at: Option<f64>,
+    failed_at: Option<f64>,
     checked: Option<(f64, bool)>,
     proven: f64,
     proven_at: f64,
@@ -45,17 +47,20 @@
 impl Evidence {
     /// Takes in what a round brought.
     pub fn hear(&mut self, tries: &[Tries], queries: &[ProxyQueries], health: &[HealthAnswer], now: f64) {
-        let mut met: BTreeMap<Address, (f64, f64, f64)> = BTreeMap::new();
+        let mut met: BTreeMap<Address, (f64, f64, f64, f64)> = BTreeMap::new();
         for one in tries.iter().filter(|one| one.span > 0.0) {
-            let (rate, failed, answered) = met.entry(one.server).or_default();
+            let (rate, failed, answered, span) = met.entry(one.server).or_default();
+            *span = one.span.max(*span);
             *rate += (one.tries - one.failed).max(0.0) / one.span;
             *failed += one.failed;
             *answered += (one.tries - one.failed).max(0.0);
         }
-        for (server, (rate, failed, answered)) in met {
+        for (server, (rate, failed, answered, span)) in met {
             let seen = self.servers.entry(server).or_default();
             if answered > 0.0 {
-                seen.answered_at = Some(now);
+                seen.answered_at = Some(now - span);
+            } else if failed > 0.0 {
+                seen.failed_at = Some(now);
             }
             let proves = answered >= FEW && failed <= FAILING * (answered + failed);
             if proves && rate > seen.proven(now) {
@@ -86,18 +91,25 @@
     }
 
     /// Writes servers and the age of the demand into a state.
-    pub fn tell(&self, listed: impl Iterator<Item = (Address, Entry)>, state: &mut State) {
+    pub fn tell(&mut self, listed: impl Iterator<Item = (Address, Entry)>, state: &mut State) {
         let now = state.now;
         state.measured_at = self.heard_at.unwrap_or(now);
         state.servers = listed
             .map(|(address, entry)| {
-                let seen = self.servers.get(&address).copied().unwrap_or_default();
+                let seen = self.servers.entry(address).or_default();
+                let listed_at = match seen.listed {
+                    Some((word, at)) if word == entry.listed => at,
+                    _ => now,
+                };
+                seen.listed = Some((entry.listed, listed_at));
                 let server = Server {
                     zone: entry.zone,
                     listed: entry.listed,
                     weight: entry.weight,
                     started: entry.started,
+                    listed_at,
                     answered_at: seen.answered_at,
+                    failed_at: seen.failed_at,
                     checked: seen.checked,
                     proven: seen.proven(now),
                 };
--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -4,6 +4,7 @@
 use crate::nearest::nearest;
 use crate::state::{Figures, State};
 use crate::{parts, Lines, Loads};
+use oatlever::round::{NO_RETRY, ONCE_UNRUN};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -258,10 +259,11 @@
         self.told.iter().rev()
     }
 
-    /// The mode of further tries that may go out for a class.
+    /// The mode of further tries that may go out for a class: one that must not run twice has none but where
+    /// it is proven not to have run.
     pub fn tries(&mut self, table: u16, class: u16, once: bool, tries: u8, now: f64) -> u8 {
         let lifted = self.overrides.iter().any(|o| o.check == Check::Twice && o.until > now);
-        if !once || tries == 0 || lifted {
+        if !once || tries <= ONCE_UNRUN || lifted {
             return tries;
         }
         let finding = Finding {
@@ -275,7 +277,7 @@
         let outcome = if enforced { Outcome::Nearest { moved: 0.0, fits: 1.0 } } else { Outcome::Reported };
         self.note(&Verdict { table, at: now, findings: vec![finding], outcome });
         if enforced {
-            0
+            NO_RETRY
         } else {
             tries
         }
--- a/guard/src/state.rs
+++ b/guard/src/state.rs
@@ -24,8 +24,12 @@
     pub weight: f64,
     /// s, on the pilot's clock; 0 means long ago.
     pub started: f64,
-    /// When it last was reported to have answered, s.
+    /// When the list last changed its word on it, s.
+    pub listed_at: f64,
+    /// When it last answered for sure, s: at the start of the time that the report is of.
     pub answered_at: Option<f64>,
+    /// When tries at it last came to nothing but failures, s.
+    pub failed_at: Option<f64>,
     /// When its health was last checked, s, and whether it was fine.
     pub checked: Option<(f64, bool)>,
     /// The most queries a second that it was seen to answer, nearly none failing; 0 where none was.
@@ -39,7 +43,8 @@
     /// s; an answer or a check no older than this shows that a server serves.
     #[schemars(range(min = 0.1, max = 3600.0))]
     pub answers_within: f64,
-    /// Part of a table's queries; no more may be taken at once, or within `window`, from servers that serve.
+    /// Part of a zone's queries in a table; no more may be taken at once, or within `window`, from servers
+    /// that serve by dropping them.
     #[schemars(range(min = 0.01, max = 1.0))]
     pub cut_part: f64,
     /// Part of a table's queries; no more may move at once away from servers that serve.
@@ -121,15 +126,17 @@
         }
     }
 
-    /// An answer or a check shows that it serves. A check that failed later than the last answer speaks
-    /// against it.
+    /// An answer or a check shows that it serves, and nothing later speaks against it: a check that failed,
+    /// tries that all failed, or the list calling it gone. What came before the list's word says nothing of
+    /// after it, or each server that dies would be taken for one that the list lies about.
     pub fn serves(&self, server: &Server, figures: &Figures) -> bool {
-        let answered = is_fresh(server.answered_at, self.now, figures.answers_within);
-        match server.checked.filter(|(at, _)| is_fresh(Some(*at), self.now, figures.answers_within)) {
-            Some((_, true)) => true,
-            Some((at, false)) => answered && server.answered_at.is_some_and(|answered| answered > at),
-            None => answered,
-        }
+        let fine = server.checked.filter(|(_, fine)| *fine).map(|(at, _)| at);
+        let failed = server.checked.filter(|(_, fine)| !*fine).map(|(at, _)| at);
+        let gone = (server.listed == Listed::Gone).then_some(server.listed_at);
+        let later = |a: Option<f64>, b: Option<f64>| a.into_iter().chain(b).max_by(f64::total_cmp);
+        let Some(shown) = later(server.answered_at, fine) else { return false };
+        let against = later(later(failed, server.failed_at), gone);
+        is_fresh(Some(shown), self.now, figures.answers_within) && against.is_none_or(|at| shown > at)
     }
 
     /// It may be sent to, and is shown to serve.
--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -7,18 +7,19 @@
 use async_io::Async;
 use clap::Subcommand;
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::body::Bytes;
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
 use oatlever::round::Address;
 use oatlever_guard::{Check, Override, Pin};
 use oatlever_tables::{Kept, Refusal};
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::SocketAddrV4;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,19 +33,31 @@
     Diff { table: u16, from: u64, to: u64 },
     /// Freeze a table at an old version; drains and cold limits go on above it.
     Rollback { table: u16, version: u64 },
+    /// Freeze a table at lines written by hand: a JSON object of weights by `address:port`.
+    Lay { table: u16, lines: PathBuf },
     /// Let a frozen table follow the decisions again.
     Release { table: u16 },
 }
 
+/// Method, path and body of a request.
+pub type Message = (&'static str, String, String);
+
 impl Command {
-    pub fn request(&self) -> (&'static str, String) {
-        match self {
+    /// Method, path and body. Errors: a file that can't be read.
+    pub fn request(&self) -> Result<Message, String> {
+        let mut body = String::new();
+        let (method, path) = match self {
+            Command::Lay { table, lines } => {
+                body = std::fs::read_to_string(lines).map_err(|e| format!("{}: {e}", lines.display()))?;
+                ("POST", format!("/tables/{table}/lay"))
+            }
             Command::List => ("GET", "/tables".to_string()),
             Command::Show { table, version } => ("GET", format!("/tables/{table}/{version}")),
             Command::Diff { table, from, to } => ("GET", format!("/tables/{table}/{from}/{to}")),
             Command::Rollback { table, version } => ("POST", format!("/tables/{table}/rollback/{version}")),
             Command::Release { table } => ("POST", format!("/tables/{table}/release")),
-        }
+        };
+        Ok((method, path, body))
     }
 }
 
@@ -75,8 +88,8 @@
 const WORDS: usize = 64;
 
 impl Word {
-    pub fn request(&self) -> (&'static str, String) {
-        match self {
+    pub fn request(&self) -> Message {
+        let (method, path) = match self {
             Word::Explain => ("GET", "/guard".to_string()),
             Word::Override { check, by, seconds } => {
                 ("POST", format!("/guard/override/{}/{by}/{seconds}", check.name()))
@@ -84,7 +97,8 @@
             Word::Pin { server, least, most, seconds } => {
                 ("POST", format!("/guard/pin/{server}/{least}/{most}/{seconds}"))
             }
-        }
+        };
+        (method, path, String::new())
     }
 
     fn read(method: &Method, parts: &[&str]) -> Option<Word> {
@@ -138,11 +152,13 @@
 }
 
 /// Sends a request and prints the answer. Errors: nobody is there, or the pilot refuses, with its reason.
-pub fn tell(socket: &Path, (method, path): (&str, String)) -> Result<(), String> {
+pub fn tell(socket: &Path, (method, path, body): Message) -> Result<(), String> {
     let told = |e: io::Error| format!("{}: {e}", socket.display());
     let mut stream = UnixStream::connect(socket).map_err(told)?;
     stream.set_read_timeout(Some(Duration::from_secs(10))).map_err(told)?;
-    write!(stream, "{method} {path} HTTP/1.1\r\nhost: pilot\r\nconnection: close\r\n\r\n").map_err(told)?;
+    let length = body.len();
+    let head = format!("host: pilot\r\nconnection: close\r\ncontent-length: {length}");
+    write!(stream, "{method} {path} HTTP/1.1\r\n{head}\r\n\r\n{body}").map_err(told)?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).map_err(told)?;
     let (head, body) = answer.split_once("\r\n\r\n").ok_or("the answer was cut off")?;
@@ -179,15 +195,16 @@
 ) -> io::Result<()> {
     let socket = Async::<UnixListener>::try_from(socket)?;
     let accept = async || socket.accept().await.map(|(stream, _)| stream);
-    pages::serve(accept, move |request| page(&pilot, request), executor).await;
+    pages::serve(accept, move |request, body| page(&pilot, request, body), executor).await;
     Ok(())
 }
 
-fn page(pilot: &Pilot, request: &Request<Incoming>) -> Page {
-    let path = request.uri().path().trim_start_matches('/');
+fn page(pilot: &Pilot, request: &Parts, body: &[u8]) -> Page {
+    let path = request.uri.path().trim_start_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
-    let method = request.method();
+    let method = &request.method;
     let answer = match (command(method, &parts), Word::read(method, &parts)) {
+        (Some(Command::Lay { table, .. }), _) => lay(pilot, table, body),
         (Some(command), _) => act(pilot, &command).map_err(|e| e.to_string()),
         (_, Some(word)) => say(pilot, &word),
         (None, None) => Err("no such command".to_string()),
@@ -215,11 +232,30 @@
         (&Method::POST, ["tables", t, "rollback", version]) => {
             Command::Rollback { table: table(t)?, version: number(version)? }
         }
+        // The lines are in the body.
+        (&Method::POST, ["tables", t, "lay"]) => Command::Lay { table: table(t)?, lines: PathBuf::new() },
         (&Method::POST, ["tables", t, "release"]) => Command::Release { table: table(t)? },
         _ => return None,
     })
 }
 
+fn lay(pilot: &Pilot, table: u16, body: &[u8]) -> Result<Value, String> {
+    let written: BTreeMap<SocketAddrV4, f64> = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if let Some((server, weight)) = written.iter().find(|(_, weight)| **weight < 0.0) {
+        return Err(format!("{server}: a weight of {weight}"));
+    }
+    let address = |host: SocketAddrV4| Address { host: host.ip().octets(), port: host.port() };
+    let lines = written.into_iter().map(|(host, weight)| (address(host), weight)).collect();
+    let mut core = pilot.core.borrow_mut();
+    let now = core.now();
+    let laid = core.by_hand(|tables, review| tables.freeze(table, lines, now, review));
+    let version = laid.map_err(|e| e.to_string())?;
+    drop(core);
+    tracing::warn!(table, version, "a table laid by hand");
+    pilot.changed.notify(usize::MAX);
+    Ok(json!({"version": version}))
+}
+
 fn act(pilot: &Pilot, command: &Command) -> Result<Value, Refusal> {
     let mut core = pilot.core.borrow_mut();
     let now = core.now();
@@ -255,6 +291,7 @@
         Command::Rollback { table, version } => {
             core.by_hand(|tables, review| tables.roll_back(*table, *version, now, review))?
         }
+        Command::Lay { .. } => return Err(Refusal::Empty),
         Command::Release { table } => core.by_hand(|tables, review| tables.release(*table, now, review))?,
     };
     drop(core);
--- a/pilot/src/drill.rs
+++ b/pilot/src/drill.rs
@@ -47,9 +47,14 @@
     weight: f64,
     #[serde(default)]
     started_ago: Option<f64>,
+    /// Since the list last changed its word; long ago where left out.
+    #[serde(default)]
+    listed_ago: Option<f64>,
     #[serde(default)]
     answered_ago: Option<f64>,
     #[serde(default)]
+    failed_ago: Option<f64>,
+    #[serde(default)]
     checked_ago: Option<f64>,
     #[serde(default)]
     fine: bool,
@@ -95,6 +100,8 @@
             listed: one.listed,
             weight: one.weight,
             started: one.started_ago.map_or(0.0, |ago| NOW - ago),
+            listed_at: one.listed_ago.map_or(0.0, |ago| NOW - ago),
+            failed_at: one.failed_ago.map(|ago| NOW - ago),
             answered_at: one.answered_ago.map(|ago| NOW - ago),
             checked: one.checked_ago.map(|ago| (NOW - ago, one.fine)),
             proven: one.proven,
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -99,7 +99,9 @@
             println!("{:#}", oatlever_settings::schema());
             Ok(())
         }
-        Command::Tables { socket, what } => control::tell(&socket, what.request()).map_err(failed),
+        Command::Tables { socket, what } => {
+            what.request().and_then(|request| control::tell(&socket, request)).map_err(failed)
+        }
         Command::Guard { what: Guard::At { socket, what } } => {
             control::tell(&socket, what.request()).map_err(failed)
         }
--- a/pilot/src/pages.rs
+++ b/pilot/src/pages.rs
@@ -3,13 +3,14 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::{future, AsyncRead, AsyncWrite};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 use std::cell::Cell;
-use std::convert::Infallible;
+use std::error::Error;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 const CONNECTIONS: usize = 64;
 /// s; a connection lives no longer.
 const LIFE: f64 = 10.0;
+/// Bytes of the largest request; more breaks the connection.
+const MOST: usize = 1 << 20;
 /// s; after an accept that failed, as when descriptors ran out.
 const PAUSE: f64 = 0.01;
 
@@ -26,7 +29,7 @@
 /// Serves pages for ever on what `accept` brings.
 pub async fn serve<T: AsyncRead + AsyncWrite + Unpin + 'static>(
     accept: impl AsyncFn() -> io::Result<T>,
-    page: impl Fn(&Request<Incoming>) -> Page + 'static,
+    page: impl Fn(&Parts, &[u8]) -> Page + 'static,
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let (open, page) = (Rc::new(Cell::new(0)), Rc::new(page));
@@ -41,9 +44,10 @@
         open.set(open.get() + 1);
         let (page, open) = (page.clone(), open.clone());
         let talk = async move {
-            let service = service_fn(|request| {
-                let response = page(&request);
-                async move { Ok::<_, Infallible>(response) }
+            let service = service_fn(|request: Request<Incoming>| async {
+                let (head, body) = request.into_parts();
+                let body = Limited::new(body, MOST).collect().await?.to_bytes();
+                Ok::<_, Box<dyn Error + Send + Sync>>(page(&head, &body))
             });
             let served = async {
                 let io = FuturesIo::new(stream);
--- a/pilot/src/status.rs
+++ b/pilot/src/status.rs
@@ -6,8 +6,9 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::body::Bytes;
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
 use oatlever_tables::Change;
 use serde_json::{json, Value};
 use std::io;
@@ -24,18 +25,18 @@
 ) -> io::Result<()> {
     let socket = Async::<TcpListener>::try_from(socket)?;
     let accept = async || socket.accept().await.map(|(stream, _)| stream);
-    pages::serve(accept, move |request| page(&pilot, request), executor).await;
+    pages::serve(accept, move |request, _| page(&pilot, request), executor).await;
     Ok(())
 }
 
-fn page(pilot: &Pilot, request: &Request<Incoming>) -> Page {
-    let (status, kind, text) = match (request.method(), request.uri().path()) {
+fn page(pilot: &Pilot, request: &Parts) -> Page {
+    let (status, kind, text) = match (&request.method, request.uri.path()) {
         (&Method::GET, "/metrics") => match metrics::text(pilot) {
             Ok(text) => (StatusCode::OK, "application/openmetrics-text; version=1.0.0; charset=utf-8", text),
             Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, "text/plain", e.to_string()),
         },
         (&Method::GET, "/status") => (StatusCode::OK, "application/json", status(pilot).to_string()),
-        (&Method::GET, "/changes") => match changes(pilot, request.uri().query().unwrap_or("")) {
+        (&Method::GET, "/changes") => match changes(pilot, request.uri.query().unwrap_or("")) {
             Ok(value) => (StatusCode::OK, "application/json", value.to_string()),
             Err(what) => (StatusCode::BAD_REQUEST, "text/plain", what),
         },
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -2,7 +2,7 @@
 
 use crate::askers::Asker;
 use crate::record::{Entry, Event};
-use crate::script::{Fault, Front, Kind, Realm, Script};
+use crate::script::{Fault, Front, Kind, Realm, Script, SERVICE_PORT};
 use crate::servers::Server;
 use crate::world::World;
 use async_executor::LocalExecutor;
@@ -28,6 +28,9 @@
     pub progress: bool,
 }
 
+/// Tables that a hand reaches for; more than small fleets have.
+const TABLES: u8 = 12;
+
 /// The pilot's process, killed when it is dropped.
 struct Pilot {
     program: PathBuf,
@@ -59,6 +62,26 @@
         }
     }
 
+    /// Lays every table by hand so that one server gets everything, or lets all follow the decisions again.
+    fn by_hand(&self, lay: bool, host: Ipv4Addr) {
+        let lines = self.settings.with_file_name("lines.json");
+        let told = std::fs::write(&lines, format!("{{\"{host}:{SERVICE_PORT}\": 1}}"));
+        let (program, socket) = (self.program.clone(), self.settings.with_file_name("list.json.control"));
+        // Beside the load, which must not stop meanwhile.
+        std::thread::spawn(move || {
+            for table in 0..TABLES {
+                let mut command = Command::new(&program);
+                command.args(["tables", "--socket"]).arg(&socket);
+                command.args([if lay { "lay" } else { "release" }, &table.to_string()]);
+                if lay {
+                    command.arg(&lines);
+                }
+                let _ = command.stdout(Stdio::null()).stderr(Stdio::null()).status();
+            }
+        });
+        drop(told);
+    }
+
     /// Asks it to end. Errors: it did not end well.
     fn end(&mut self) -> Result<(), String> {
         let Some(mut child) = self.child.take() else { return Ok(()) };
@@ -149,6 +172,12 @@
             );
         }
     }
+    if script.guard.is_some() {
+        let place = Place { host: world.realm.status(), path: "/metrics".to_string() };
+        let page = get(&place, None, 2.0, 1 << 20).await.map_err(|e| e.to_string())?;
+        let text = String::from_utf8_lossy(&page.body).into_owned();
+        text.lines().filter(|line| line.starts_with("oatlever_guard")).for_each(|line| println!("{line}"));
+    }
     drop(tasks);
     pilot.borrow_mut().end()?;
     Ok(world.record.take())
@@ -256,6 +285,7 @@
                 faults.scrapes_hang = on;
                 relays.iter().for_each(|relay| relay.reset());
             }
+            Kind::HandLays => pilot.borrow().by_hand(on, world.realm.server(0, 0)),
             Kind::Restart => {}
         }
     };
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -44,6 +44,9 @@
         /// How relays come by their tables, whatever the script says.
         #[arg(long, value_enum)]
         relays_by: Option<script::Front>,
+        /// The mode of the pilot's guard, `report` or `enforce`, whatever the script says.
+        #[arg(long)]
+        guard: Option<String>,
         /// Askers take all listed servers evenly instead of the pilot's answers.
         #[arg(long)]
         even: bool,
@@ -139,10 +142,11 @@
             let entries = play(script.clone(), &place, false)?;
             Ok(report(&judge::judge(&script, &entries)))
         }
-        Command::Day { script, record, relays_by, even, place } => {
+        Command::Day { script, record, relays_by, guard, even, place } => {
             let text = std::fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
             let mut script = Script::read(&text).map_err(|e| format!("{}: {e}", script.display()))?;
             script.relays_by = relays_by.unwrap_or(script.relays_by);
+            script.guard = guard.or(script.guard);
             let entries = play(script.clone(), &place, even)?;
             if let Some(path) = record {
                 written(&path, &script, &entries).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -33,6 +33,9 @@
     /// How relays come by their tables.
     #[serde(default)]
     pub relays_by: Front,
+    /// The mode of the pilot's guard; none without.
+    #[serde(default)]
+    pub guard: Option<String>,
     #[serde(default)]
     pub faults: Vec<Fault>,
     pub most_waiting: f64,
@@ -119,6 +122,8 @@
     ScrapesHang,
     /// Counters start anew at the end, and can't be read before.
     ReportsReset,
+    /// Somebody lays every table by hand: one server gets everything.
+    HandLays,
 }
 
 impl Script {
@@ -198,8 +203,11 @@
             json!({"name": c.name, "benefit": c.benefit, "due_time": c.due,
             "once": c.once})
         });
+        let guard = script.guard.as_ref().map(|mode| json!({"mode": mode}));
         json!({
             "zones": zones,
+            "guard": guard,
+            "control": {"socket": format!("{cache}.control")},
             "classes": classes.collect::<Vec<_>>(),
             "rules": {"drain_grace": script.grace, "without_server": script.without,
                 "cold_share": script.cold_share, "warm_within": script.warm_within,
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -224,6 +224,22 @@
         Ok(self.lay_by_hand(table, now, review))
     }
 
+    /// Freezes a table at lines written by hand, as version 0. Returns the version that brings it.
+    pub fn freeze(
+        &mut self,
+        table: u16,
+        lines: Lines,
+        now: f64,
+        review: &mut dyn Review,
+    ) -> Result<u64, Refusal> {
+        let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
+        if !lines.values().any(|weight| *weight > 0.0) {
+            return Err(Refusal::Empty);
+        }
+        held.frozen = Some((0, lines));
+        Ok(self.lay_by_hand(table, now, review))
+    }
+
     /// Lets a frozen table follow the decisions again. Returns the version that brings it.
     pub fn release(&mut self, table: u16, now: f64, review: &mut dyn Review) -> Result<u64, Refusal> {
         let held = self.tables.get_mut(usize::from(table)).ok_or(Refusal::NoTable)?;
