--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -4,6 +4,7 @@
 mod front;
 mod streams;
 mod structures;
+mod verdicts;
 
 use clap::{Parser, Subcommand};
 
@@ -26,6 +27,8 @@
     Rounds,
     /// From an order to the last ACK on xDS streams, and bytes a change, by variant and number.
     Streams,
+    /// A verdict of the guard, by size and change; its index beside a recount.
+    Verdicts,
     /// Our structures beside plain ones.
     Structures,
 }
@@ -35,6 +38,7 @@
         What::Dns { seconds } => front::measure(seconds),
         What::Rounds => fleet::measure(),
         What::Streams => streams::measure(),
+        What::Verdicts => verdicts::measure(),
         What::Structures => structures::measure(),
     }
 }
--- a/pilot/tests/program.rs
+++ b/pilot/tests/program.rs
@@ -371,3 +371,77 @@
     stream.set_nonblocking(false).unwrap();
     stream
 }
+
+/// The drill: a table judged from files, each wrong file told by name and ended with 2.
+#[test]
+fn a_table_is_judged_offline() {
+    let folder = Folder::new("drill");
+    let one = json!({"zone": 0, "listed": "ready", "weight": 1, "answered_ago": 0.5, "proven": 10});
+    let host = |n: u8| format!("10.0.0.{n}:7000");
+    let servers: serde_json::Map<_, _> = (0..4).map(|n| (host(n), one.clone())).collect();
+    let even: serde_json::Map<_, _> = (0..4).map(|n| (host(n), json!(1))).collect();
+    let state = json!({"servers": servers, "demand": 30, "in_place": even, "cold_share": 0.2,
+                       "warm_within": 60, "fall_multiple": 2.5});
+    let state = folder.write("state.json", &state.to_string());
+    let judge = |lines: Value| {
+        let table = folder.write("table.json", &json!({"lines": lines}).to_string());
+        let done = program(&["guard", "check", table.to_str().unwrap(), state.to_str().unwrap()]);
+        (done.status.code(), serde_json::from_slice::<Value>(&done.stdout).unwrap_or_default(), done.stderr)
+    };
+    let (code, told, _) = judge(json!(even));
+    assert_eq!((code, &told["outcome"]), (Some(0), &json!("fine")));
+    let (code, told, _) = judge(json!({host(1): 1}));
+    assert_eq!(
+        (code, &told["outcome"], &told["findings"][0]["check"]),
+        (Some(1), &json!("kept"), &json!("cut"))
+    );
+    assert_eq!(told["findings"][0]["found"], 0.75);
+    assert_eq!(told["instead"][host(0)], 0.25);
+    let (code, _, told) = judge(json!({"here": 1}));
+    let told = String::from_utf8(told).unwrap();
+    assert!(code == Some(2) && told.contains("table.json") && told.contains("\"here\""), "{told}");
+}
+
+/// A hand lays a bad table on a running pilot: it is refused, told, and let out once the checks are lifted.
+#[test]
+fn the_guard_of_a_running_pilot_is_asked_and_told() {
+    let folder = Folder::new("guard");
+    folder.list(0..6);
+    let socket = folder.0.join("control");
+    let mut settings = folder.settings();
+    settings["control"] = json!({"socket": socket.to_str().unwrap()});
+    settings["guard"] = json!({"mode": "enforce"});
+    // No reports come here, so that health checks are all the evidence there is: none. A pin still holds.
+    let pilot = Pilot::start(&folder.write("settings.json", &settings.to_string()));
+    pilot.until("six servers", |answer| lines(answer) == 6);
+    let run = |arguments: &[&str]| {
+        let mut all = vec![arguments[0]];
+        all.extend((arguments[0] == "guard").then_some("at"));
+        all.extend(["--socket", socket.to_str().unwrap()]);
+        all.extend(&arguments[1..]);
+        let done = program(&all);
+        match done.status.success() {
+            true => Ok(serde_json::from_slice::<Value>(&done.stdout).unwrap()),
+            false => Err(String::from_utf8(done.stderr).unwrap()),
+        }
+    };
+    run(&["guard", "pin", "10.0.0.1:7000", "0", "0.5", "60"]).unwrap();
+    assert!(run(&["guard", "pin", "10.0.0.1:7000", "0.9", "0.5", "60"]).unwrap_err().contains("lower one"));
+    assert!(run(&["guard", "override", "everything", "me", "60"]).is_err());
+    assert!(run(&["guard", "override", "pinned", "me", "1e9"]).unwrap_err().contains("86400"));
+    let by_hand = folder.write("hand.json", &json!({"10.0.0.1:7000": 9, "10.0.0.2:7000": 1}).to_string());
+    let by_hand = by_hand.to_str().unwrap();
+    run(&["tables", "lay", "0", by_hand]).unwrap();
+    let told = run(&["guard", "explain"]).unwrap();
+    assert_eq!(told["verdicts"][0]["findings"][0]["check"], "pinned", "{told:#}");
+    assert_eq!((&told["verdicts"][0]["outcome"], &told["pins"][0]["most"]), (&json!("kept"), &json!(0.5)));
+    assert_eq!(lines(&pilot.ask([127, 0, 0, 1]).unwrap()), 6, "what was in place stays");
+    assert!(pilot.page("/metrics").contains("oatlever_guard_verdicts_total{outcome=\"kept\"}"));
+    run(&["guard", "override", "pinned", "me", "60"]).unwrap();
+    pilot.until("the hand's table", |answer| lines(answer) == 2);
+    run(&["tables", "release", "0"]).unwrap();
+    pilot.until("six again", |answer| lines(answer) == 6);
+    assert!(run(&["tables", "lay", "0", "/nowhere"]).unwrap_err().contains("/nowhere"));
+    let nonsense = folder.write("hand.json", "[1]");
+    assert!(run(&["tables", "lay", "0", nonsense.to_str().unwrap()]).is_err());
+}
