--- a/guard/src/loads.rs
+++ b/guard/src/loads.rs
@@ -54,6 +54,8 @@
     queries: f64,
     /// Tables laid last that name it.
     tables: u32,
+    /// Tables with a line for it in any version in use.
+    lines: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -91,6 +93,7 @@
             parts.keys().filter(|server| !held.lines.contains_key(server)).copied().collect::<Vec<_>>()
         {
             held.lines.insert(server, Line::default());
+            sums.entry(server).or_default().lines += 1;
         }
         for (server, line) in &mut held.lines {
             let part = parts.get(server).copied().unwrap_or(0.0);
@@ -123,13 +126,23 @@
             let demand = held.demand;
             held.lines.retain(|server, line| {
                 follow(sums, demand, *server, line, |line| line.expire(now));
-                line.part > 0.0 || !line.past.is_empty()
+                let stays = line.part > 0.0 || !line.past.is_empty();
+                if let Some(sum) = sums.get_mut(server).filter(|_| !stays) {
+                    sum.lines -= 1;
+                    // With the last line goes what rounding left, and the memory: addresses come and go for
+                    // as long as a pilot lives.
+                    if sum.lines == 0 {
+                        sums.remove(server);
+                    }
+                }
+                stays
             });
         }
-        // Sums of many steps are nearly, not quite, nothing when nothing is left.
-        if ends.is_empty() {
-            sums.retain(|_, sum| sum.tables > 0);
-        }
+    }
+
+    /// Servers that are remembered: those with a line in any version in use.
+    pub fn servers(&self) -> usize {
+        self.sums.len()
     }
 
     /// The greatest part that a server has in any version of a table in use.
--- a/guard/tests/guard.rs
+++ b/guard/tests/guard.rs
@@ -329,6 +329,19 @@
     }
 }
 
+/// Ever new addresses, with something always about to run out: what nobody can hold any more is forgotten.
+#[test]
+fn servers_that_left_are_forgotten() {
+    let mut loads = Loads::default();
+    loads.demand(0, 30.0);
+    for n in 0..20_000u16 {
+        let address = |k: u16| Address { host: [10, 0, (k >> 8) as u8, k as u8], port: 7000 };
+        let lines: Lines = (n..n + 3).map(|k| (address(k), 1.0 + f64::from(k % 7))).collect();
+        loads.lay(0, &parts(&lines), f64::from(n), WAY);
+        assert!(loads.servers() <= 3 + WAY as usize + 1, "{}", loads.servers());
+    }
+}
+
 /// On random fleets and tables: whatever goes out under an enforcing guard leaves nobody without a server
 /// while any serves, names none that must be left where the guard chose the lines, and pushes nobody past
 /// what it may have unless nothing fits; and a table with nothing wrong by a plain reading is let out as it is.
