--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -1,7 +1,7 @@
 //! The five rules, checked against what crossed the sockets.
 
 use crate::record::{Entry, Event, State};
-use crate::script::Script;
+use crate::script::{Kind, Script};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 
@@ -12,6 +12,15 @@
 /// who could have known of the start.
 const KNOWING: f64 = 2.0 / 3.0;
 
+/// s; the record's clock starts before the script's by up to so much: the pilot is waited for.
+const BEFORE: f64 = 2.0;
+
+/// Whether the script kept answers from askers at some time in a span.
+fn starved(script: &Script, from: f64, to: f64) -> bool {
+    let keeps = |kind: &Kind| matches!(kind, Kind::DnsLost | Kind::PilotDies);
+    script.faults.iter().any(|f| keeps(&f.kind) && f.at < to && f.at + f.lasts + BEFORE > from)
+}
+
 #[derive(Debug, Default)]
 pub struct Verdict {
     /// Rule and what broke it, at most a few of each.
@@ -132,7 +141,12 @@
             }
             Event::Arrival { asker, server, class, work, .. } => {
                 if let Some(Told::Left { since, binds: true }) = told.get(server) {
-                    if at - since > script.grace + SLACK {
+                    let last = answered.get(&(*asker, *class)).copied().unwrap_or(f64::NEG_INFINITY);
+                    let held = f64::from(script.lifetime) + script.overstay + SLACK;
+                    // Whoever goes on with an answer that has run out, as nothing reached it (RFC 8767), goes
+                    // by no word of the pilot's.
+                    let stale = at - last > held && starved(script, *since, at);
+                    if at - since > script.grace + SLACK && !stale {
                         let what = format!("{asker} sends to {server}, known to leave since {since:.3} s");
                         verdict.breach(3, at, what);
                     }
--- a/standins/tests/judge.rs
+++ b/standins/tests/judge.rs
@@ -32,8 +32,12 @@
 
 /// Exit status and report of the judge on a record with these entries after the quiet ones.
 fn judged(name: &str, more: &[Value]) -> (Option<i32>, String) {
+    judged_by(script(), name, more)
+}
+
+fn judged_by(script: Value, name: &str, more: &[Value]) -> (Option<i32>, String) {
     let path: PathBuf = std::env::temp_dir().join(format!("oatlever-judge-{}-{name}", std::process::id()));
-    let mut lines = vec![script()];
+    let mut lines = vec![script];
     lines.extend(quiet());
     lines.extend_from_slice(more);
     let text: Vec<String> = lines.iter().map(Value::to_string).collect();
@@ -120,3 +124,18 @@
     assert_eq!(code, Some(2));
     assert!(report.contains(":11: "), "{report}");
 }
+
+/// A client whose questions were lost goes on with an answer that has run out: no breach where the script lost
+/// them, one where it did not, and one where the answer still held.
+#[test]
+fn an_answer_that_ran_out_is_nobodys_word_where_packets_were_lost() {
+    let told = json!({"at": 2.0, "told": [[SERVER, "draining", 1], [OTHER, "ready", 1]]});
+    let answer = |at: f64| json!({"at": at, "answer": {"asker": RELAY, "class": 0, "lines": [[SERVER, 1], [OTHER, 1]]}});
+    let mut lossy = script();
+    lossy["faults"] = json!([{"at": 2.0, "for": 6.0, "kind": "dns_lost", "part": 0.25}]);
+    let stale = [told.clone(), answer(3.0), arrival(5.6, SERVER, 0.1)];
+    assert_eq!(judged_by(lossy.clone(), "stale-lost", &stale).0, Some(0));
+    assert_eq!(judged("stale", &stale).0, Some(1));
+    let held = [told, answer(4.8), arrival(5.6, SERVER, 0.1)];
+    assert_eq!(judged_by(lossy, "held-lost", &held).0, Some(1));
+}
