Build what the guard judges by once a verdict, and share what its checks have in common

A verdict set up its view, and the median of what servers are proven to carry, up to three times; the last table was looked up beside it. Counting, sorting by what was lost and summing by zone stood in two or three checks each. No verdict changes: the tests pass as they were.

--- a/guard/src/checks.rs
+++ b/guard/src/checks.rs
@@ -5,7 +5,7 @@
 use oatlever::round::Address;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
@@ -128,7 +128,8 @@
         self.state.servers.get(server)
     }
 
-    fn is_open(&self, server: &Address) -> bool {
+    /// It may be sent to, and is shown to serve.
+    pub fn is_open(&self, server: &Address) -> bool {
         self.server(server).is_some_and(|s| self.state.is_open(s, self.figures))
     }
 
@@ -137,6 +138,30 @@
         Finding { check, servers: servers.into_iter().take(TOLD).collect(), found, limit, age }
     }
 
+    /// That there are servers of which this holds; their number is what was found.
+    fn counted(&self, check: Check, servers: Vec<Address>) -> Option<Finding> {
+        let found = servers.len() as f64;
+        (found > 0.0).then(|| self.finding(check, servers, found, 0.0))
+    }
+
+    /// That more than a limit was taken, with the servers that lost the most first.
+    fn taken(&self, check: Check, mut lost: Vec<(f64, Address)>, found: f64, limit: f64) -> Option<Finding> {
+        lost.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let servers = lost.into_iter().map(|(_, server)| server).collect();
+        (found > limit + SLACK).then(|| self.finding(check, servers, found, limit))
+    }
+
+    /// The parts of a table by zone.
+    fn by_zone(&self, lines: &Lines) -> BTreeMap<u16, f64> {
+        let mut parts = BTreeMap::new();
+        for (server, part) in lines {
+            if let Some(s) = self.server(server) {
+                *parts.entry(s.zone).or_default() += part;
+            }
+        }
+        parts
+    }
+
     /// Queries a second that may come to a server if the table gives it this part.
     pub fn load(&self, server: &Address, part: f64) -> f64 {
         let others = self.loads.others(self.table, server) * self.state.grown(self.figures);
@@ -153,16 +178,19 @@
         (whole > 0.0).then(|| ((capacity - others) / whole).max(0.0))
     }
 
+    /// Pins that hold now.
+    fn pins(&self) -> impl Iterator<Item = &Pin> {
+        self.pins.iter().filter(|pin| pin.until > self.state.now)
+    }
+
     /// The pin on a server that holds now.
     pub fn pin(&self, server: &Address) -> Option<&Pin> {
-        self.pins.iter().find(|pin| pin.server == *server && pin.until > self.state.now)
+        self.pins().find(|pin| pin.server == *server)
     }
 
     pub fn not_finite(&self, proposed: &Lines) -> Option<Finding> {
         let odd = proposed.iter().filter(|(_, weight)| !weight.is_finite() || **weight < 0.0);
-        let odd: Vec<Address> = odd.map(|(server, _)| *server).collect();
-        let found = odd.len() as f64;
-        (!odd.is_empty()).then(|| self.finding(Check::NotFinite, odd, found, 0.0))
+        self.counted(Check::NotFinite, odd.map(|(server, _)| *server).collect())
     }
 
     /// Servers that could be sent to.
@@ -175,9 +203,7 @@
         if !parts.is_empty() || self.before.is_empty() {
             return None;
         }
-        let open: Vec<Address> = self.open().map(|(server, _)| *server).collect();
-        let found = open.len() as f64;
-        (!open.is_empty()).then(|| self.finding(Check::Emptied, open, found, 0.0))
+        self.counted(Check::Emptied, self.open().map(|(server, _)| *server).collect())
     }
 
     pub fn cold_only(&self, parts: &Lines) -> Option<Finding> {
@@ -185,44 +211,36 @@
         if parts.is_empty() || parts.keys().any(warm) {
             return None;
         }
-        let warm: Vec<Address> =
-            self.open().filter(|(_, s)| self.state.is_warm(s)).map(|(server, _)| *server).collect();
-        let found = warm.len() as f64;
-        (!warm.is_empty()).then(|| self.finding(Check::ColdOnly, warm, found, 0.0))
+        let warm = self.open().filter(|(_, s)| self.state.is_warm(s));
+        self.counted(Check::ColdOnly, warm.map(|(server, _)| *server).collect())
     }
 
     /// What was taken from servers that serve by dropping them, since the table before and since earlier: a
     /// row of small steps counts together. Zone by zone, and only in zones that the table still goes to: that a
     /// spill ends is no cut. A zone given up altogether is judged over all tables.
     pub fn cut(&self, parts: &Lines) -> Option<Finding> {
-        let zones: BTreeSet<u16> =
-            parts.keys().filter_map(|server| Some(self.server(server)?.zone)).collect();
+        let left = self.by_zone(parts);
         let mut worst: Option<(f64, Vec<(f64, Address)>)> = None;
         for then in [self.before, self.earlier] {
-            let mut had: BTreeMap<u16, (f64, Vec<(f64, Address)>)> = BTreeMap::new();
-            for (server, old) in then {
-                let Some(zone) = self.server(server).map(|s| s.zone).filter(|zone| zones.contains(zone))
-                else {
-                    continue;
-                };
-                let (whole, lost) = had.entry(zone).or_default();
-                *whole += old;
-                if part(parts, server) <= 0.0 && self.is_open(server) {
-                    lost.push((*old, *server));
+            let whole = self.by_zone(then);
+            let mut lost: BTreeMap<u16, Vec<(f64, Address)>> = BTreeMap::new();
+            for (server, old) in then.iter().filter(|(server, _)| part(parts, server) <= 0.0) {
+                if let Some(s) = self.server(server).filter(|s| self.state.is_open(s, self.figures)) {
+                    lost.entry(s.zone).or_default().push((*old, *server));
                 }
             }
-            for (whole, lost) in had.into_values().filter(|(whole, _)| *whole > self.figures.zone_part) {
-                let found = lost.iter().map(|(old, _)| old).sum::<f64>() / whole;
+            let zones = lost.into_iter();
+            for (zone, lost) in
+                zones.filter(|(z, _)| left.contains_key(z) && whole[z] > self.figures.zone_part)
+            {
+                let found = lost.iter().map(|(old, _)| old).sum::<f64>() / whole[&zone];
                 if worst.as_ref().is_none_or(|(most, _)| found > *most) {
                     worst = Some((found, lost));
                 }
             }
         }
-        let (found, mut lost) = worst?;
-        lost.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let servers = lost.into_iter().map(|(_, server)| server).collect();
-        (found > self.figures.cut_part + SLACK)
-            .then(|| self.finding(Check::Cut, servers, found, self.figures.cut_part))
+        let (found, lost) = worst?;
+        self.taken(Check::Cut, lost, found, self.figures.cut_part)
     }
 
     /// A zone that had a part of this table and has none, nor a line in any other.
@@ -231,32 +249,20 @@
         if parts.is_empty() {
             return None;
         }
-        let mut had: BTreeMap<u16, f64> = BTreeMap::new();
-        for then in [self.before, self.earlier] {
-            let mut of: BTreeMap<u16, f64> = BTreeMap::new();
-            for (server, part) in then {
-                if let Some(s) = self.server(server) {
-                    *of.entry(s.zone).or_default() += part;
-                }
-            }
-            for (zone, part) in of {
-                let most = had.entry(zone).or_default();
-                *most = most.max(part);
-            }
+        let (left, mut had) = (self.by_zone(parts), self.by_zone(self.before));
+        for (zone, part) in self.by_zone(self.earlier) {
+            let most = had.entry(zone).or_default();
+            *most = part.max(*most);
         }
-        let left: BTreeSet<u16> = parts.keys().filter_map(|server| Some(self.server(server)?.zone)).collect();
         let lost =
-            had.into_iter().filter(|(zone, part)| *part > self.figures.zone_part && !left.contains(zone));
+            had.into_iter().filter(|(zone, part)| *part > self.figures.zone_part && !left.contains_key(zone));
         for (zone, _) in lost {
-            let mut servers = self.state.servers.iter().filter(|(_, s)| s.zone == zone);
+            let servers = self.state.servers.iter().filter(|(_, s)| s.zone == zone);
             if servers.clone().any(|(server, _)| self.loads.names(self.table, server)) {
                 continue;
             }
-            let open: Vec<Address> = servers
-                .by_ref()
-                .filter(|(server, _)| self.is_open(server))
-                .map(|(server, _)| *server)
-                .collect();
+            let open = servers.filter(|(server, _)| self.is_open(server));
+            let open: Vec<Address> = open.map(|(server, _)| *server).collect();
             if !open.is_empty() {
                 let count = open.len() as f64;
                 return Some(self.finding(Check::ZoneCut, open, f64::from(zone), count));
@@ -268,12 +274,9 @@
     pub fn moved(&self, parts: &Lines) -> Option<Finding> {
         let away = self.before.iter().filter(|(server, _)| self.is_open(server));
         let away = away.map(|(server, old)| ((old - part(parts, server)).max(0.0), *server));
-        let mut away: Vec<(f64, Address)> = away.filter(|(moved, _)| *moved > 0.0).collect();
-        away.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let found: f64 = away.iter().map(|(moved, _)| moved).sum();
-        let servers = away.into_iter().map(|(_, server)| server).collect();
-        (found > self.figures.moved_part + SLACK)
-            .then(|| self.finding(Check::Moved, servers, found, self.figures.moved_part))
+        let away: Vec<(f64, Address)> = away.filter(|(moved, _)| *moved > 0.0).collect();
+        let found = away.iter().map(|(moved, _)| moved).sum();
+        self.taken(Check::Moved, away, found, self.figures.moved_part)
     }
 
     /// Servers that this table would push past what they may have: those whose part it raises, as what it
@@ -302,7 +305,7 @@
     }
 
     pub fn pinned(&self, parts: &Lines) -> Option<Finding> {
-        self.pins.iter().filter(|pin| pin.until > self.state.now).find_map(|pin| {
+        self.pins().find_map(|pin| {
             let named = parts.contains_key(&pin.server) || self.before.contains_key(&pin.server);
             // A pin holds nobody at a server that must be left.
             let bound = self.server(&pin.server).is_none_or(|s| self.state.binds_away(s));
@@ -313,4 +316,17 @@
             broken.then(|| self.finding(Check::Pinned, vec![pin.server], found, limit))
         })
     }
+
+    /// Whether what is in place may stay: it has lines, none for a server that must be left, nobody past what
+    /// it may have, and breaks no pin. A drain is never held back by a table that is kept.
+    pub fn may_stay(&self) -> bool {
+        let lines = self.before;
+        let bound = |server| self.server(server).is_none_or(|s| self.state.binds_away(s));
+        if lines.is_empty() || lines.keys().any(bound) {
+            return false;
+        }
+        let over =
+            |(server, part): (&_, &f64)| self.room(server).is_some_and(|room| *part > room * (1.0 + SLACK));
+        self.cold_only(lines).is_none() && self.pinned(lines).is_none() && !lines.iter().any(over)
+    }
 }
--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -129,31 +129,38 @@
     }
 
     /// Everything wrong with a table, by parts, if it were laid now in place of the last.
-    fn findings(&self, state: &State, table: u16, proposed: &Lines, parts: &Lines) -> Vec<Finding> {
-        self.seen(state, table, |sight| {
-            let mut found: Vec<Finding> = [
-                sight.not_finite(proposed),
-                sight.emptied(parts),
-                sight.cold_only(parts),
-                sight.cut(parts),
-                sight.zone_cut(parts),
-                sight.moved(parts),
-                sight.pinned(parts),
-            ]
-            .into_iter()
-            .flatten()
-            .collect();
-            found.extend(sight.overloads(parts));
-            let lifted = |check| self.overrides.iter().any(|o| o.check == check && o.until > state.now);
-            found.retain(|finding| !lifted(finding.check));
-            found
-        })
+    fn findings(&self, sight: &Sight, proposed: &Lines, parts: &Lines) -> Vec<Finding> {
+        let mut found: Vec<Finding> = [
+            sight.not_finite(proposed),
+            sight.emptied(parts),
+            sight.cold_only(parts),
+            sight.cut(parts),
+            sight.zone_cut(parts),
+            sight.moved(parts),
+            sight.pinned(parts),
+        ]
+        .into_iter()
+        .flatten()
+        .collect();
+        found.extend(sight.overloads(parts));
+        found.retain(|finding| !self.is_lifted(finding.check, sight.state.now));
+        found
     }
 
-    fn seen<R>(&self, state: &State, table: u16, see: impl FnOnce(&Sight) -> R) -> R {
+    fn is_lifted(&self, check: Check, now: f64) -> bool {
+        self.overrides.iter().any(|o| o.check == check && o.until > now)
+    }
+
+    /// Judges a table and says what is to be laid: the proposal itself (its weights untouched), or another.
+    pub fn judge(&mut self, state: &State, table: u16, proposed: &Lines) -> (Verdict, Option<Lines>) {
+        let wanted = parts(proposed);
+        self.loads.expire(state.now);
+        for (table, demand) in &state.demand {
+            self.loads.demand(*table, *demand);
+        }
         let none = Held::default();
         let held = self.tables.get(&table).unwrap_or(&none);
-        see(&Sight {
+        let sight = Sight {
             state,
             figures: &self.figures,
             loads: &self.loads,
@@ -162,34 +169,18 @@
             before: &held.lines,
             earlier: &held.earlier,
             typical: state.typical(),
-        })
-    }
-
-    /// Judges a table and says what is to be laid: the proposal itself (its weights untouched), or another.
-    pub fn judge(&mut self, state: &State, table: u16, proposed: &Lines) -> (Verdict, Option<Lines>) {
-        let wanted = parts(proposed);
-        self.loads.expire(state.now);
-        for (table, demand) in &state.demand {
-            self.loads.demand(*table, *demand);
-        }
-        let findings = self.findings(state, table, proposed, &wanted);
-        let (outcome, instead) = self.decide(state, table, &wanted, &findings);
+        };
+        let findings = self.findings(&sight, proposed, &wanted);
+        let (outcome, instead) = self.decide(&sight, &wanted, &findings);
         self.lay(state, table, instead.as_ref().unwrap_or(&wanted));
         let verdict = Verdict { table, at: state.now, findings, outcome };
         self.note(&verdict);
         (verdict, instead)
     }
 
-    fn decide(
-        &self,
-        state: &State,
-        table: u16,
-        wanted: &Lines,
-        findings: &[Finding],
-    ) -> (Outcome, Option<Lines>) {
+    fn decide(&self, sight: &Sight, wanted: &Lines, findings: &[Finding]) -> (Outcome, Option<Lines>) {
         if findings.is_empty() {
-            let was = self.tables.get(&table).is_some_and(|held| !held.lines.is_empty());
-            let empty = wanted.is_empty() && was;
+            let empty = wanted.is_empty() && !sight.before.is_empty();
             return (if empty { Outcome::Empty } else { Outcome::Fine }, None);
         }
         if self.mode == Mode::Report {
@@ -199,32 +190,16 @@
         if findings.iter().all(|finding| finding.check == Check::NotFinite) {
             return (Outcome::Nearest { moved: 0.0, fits: 1.0 }, Some(wanted.clone()));
         }
-        let before = self.tables.get(&table).map(|held| held.lines.clone()).unwrap_or_default();
-        if self.is_safe(state, table, &before) {
-            return (Outcome::Kept, Some(before));
+        if sight.may_stay() {
+            return (Outcome::Kept, Some(sight.before.clone()));
         }
-        let found = self.seen(state, table, |sight| nearest(sight, wanted));
+        let found = nearest(sight, wanted);
         if found.lines.is_empty() {
             return (Outcome::NothingBetter, None);
         }
         (Outcome::Nearest { moved: found.moved, fits: found.fits }, Some(found.lines))
     }
 
-    /// Whether what is in place may stay: it has lines, none for a server that must be left, nobody past
-    /// what it may have, and breaks no pin. A drain is never held back by a table that is kept.
-    fn is_safe(&self, state: &State, table: u16, lines: &Lines) -> bool {
-        let bound = |server| state.servers.get(server).is_none_or(|s| state.binds_away(s));
-        if lines.is_empty() || lines.keys().any(bound) {
-            return false;
-        }
-        self.seen(state, table, |sight| {
-            let over = |(server, part): (&_, &f64)| {
-                sight.room(server).is_some_and(|room| *part > room * (1.0 + 1e-9))
-            };
-            sight.cold_only(lines).is_none() && sight.pinned(lines).is_none() && !lines.iter().any(over)
-        })
-    }
-
     /// What is in place before the guard was asked anything.
     pub fn take_up(&mut self, table: u16, lines: &Lines, now: f64) {
         let state = State { now, ..State::default() };
@@ -266,8 +241,7 @@
     /// The mode of further tries that may go out for a class: one that must not run twice has none but where
     /// it is proven not to have run.
     pub fn tries(&mut self, table: u16, class: u16, once: bool, tries: u8, now: f64) -> u8 {
-        let lifted = self.overrides.iter().any(|o| o.check == Check::Twice && o.until > now);
-        if !once || tries <= ONCE_UNRUN || lifted {
+        if !once || tries <= ONCE_UNRUN || self.is_lifted(Check::Twice, now) {
             return tries;
         }
         let finding = Finding {
--- a/guard/src/nearest.rs
+++ b/guard/src/nearest.rs
@@ -27,23 +27,22 @@
 pub fn nearest(sight: &Sight, proposed: &Lines) -> Nearest {
     let state = sight.state;
     let may = |server: &Address| state.servers.get(server).is_some_and(|s| !state.binds_away(s));
-    let open = |server: &Address| state.servers.get(server).is_some_and(|s| state.is_open(s, sight.figures));
     let is_warm = |server: &Address| state.servers.get(server).is_some_and(|s| state.is_warm(s));
     let kept = |lines: &Lines| -> Lines {
         parts(&lines.iter().filter(|(server, _)| may(server)).map(|(s, part)| (*s, *part)).collect())
     };
     // Those who may take over what moves: in place or proposed first, then whoever serves.
     let every: Lines = {
-        let serving = state.servers.iter().filter(|(server, _)| open(server));
+        let serving = state.servers.iter().filter(|(server, _)| sight.is_open(server));
         parts(&serving.map(|(server, s)| (*server, s.weight)).collect())
     };
-    let mut lines = kept(sight.before);
-    for other in [kept(proposed), every.clone()] {
+    let (mut lines, proposed) = (kept(sight.before), kept(proposed));
+    for other in [&proposed, &every] {
         if lines.is_empty() || !lines.keys().any(is_warm) && other.keys().any(is_warm) {
-            lines = other;
+            lines.clone_from(other);
         }
     }
-    let known: BTreeSet<Address> = lines.keys().chain(kept(proposed).keys()).copied().collect();
+    let known: BTreeSet<Address> = lines.keys().chain(proposed.keys()).copied().collect();
     let beyond: BTreeSet<Address> = every.keys().filter(|server| !known.contains(server)).copied().collect();
 
     let room = |server: &Address| {
