Call gRPC methods by one function, and carry out commands on tables in one place

Four places dialled HTTP/2 and posted a stream of messages each for itself; xds::call serves the ORCA client, the stand-ins, the benches and the tests.

--- a/benches/src/streams.rs
+++ b/benches/src/streams.rs
@@ -4,17 +4,13 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::StreamExt;
-use http_body_util::StreamBody;
-use hyper::body::{Bytes, Frame};
+use hyper::body::Bytes;
 use oatlever::round::{Address, Writer};
 use oatlever_identity::Peer;
 use oatlever_tables::{Kind, News, Pull, Tables, View};
 use oatlever_xds::grpc::{framed, Reader};
-use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Local, Shared};
-use smol_hyper::rt::FuturesIo;
+use oatlever_xds::{call, methods, serve, Class, Desk, Limits, Load, Shared};
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -77,10 +73,6 @@
 /// One proxy: it takes all that it is sent.
 async fn proxy(n: u16, delta: bool, host: SocketAddr, executor: Rc<LocalExecutor<'static>>) -> Option<()> {
     let socket = Async::<TcpStream>::connect(host).await.ok()?;
-    let local = Local(executor.clone());
-    let (mut requests, connection) =
-        hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await.ok()?;
-    executor.spawn(async move { drop(connection.await) }).detach();
     let (sender, receiver) = async_channel::unbounded::<Bytes>();
     let names: Vec<String> = CLASSES.iter().map(|name| name.to_string()).collect();
     let node = Some(Node { id: n.to_string(), ..Default::default() });
@@ -104,10 +96,9 @@
     };
     let first = if delta { changes(node, names.clone(), String::new()) } else { state(node, String::new()) };
     sender.try_send(first).ok()?;
-    let body = StreamBody::new(Box::pin(receiver.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)))));
     let path = if delta { methods::DELTA } else { methods::STATE };
-    let request = hyper::Request::post(format!("http://{host}{path}")).body(body).ok()?;
-    let mut reader = Reader::new(requests.send_request(request).await.ok()?.into_body(), 1 << 20);
+    let (response, _open) = call(socket, (host, path), receiver, &executor).await.ok()?;
+    let mut reader = Reader::new(response.into_body(), 1 << 20);
     loop {
         let taken = if delta {
             let response = reader.next::<discovery::DeltaDiscoveryResponse>().await.ok()??;
--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -6,13 +6,11 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use clap::Subcommand;
-use http_body_util::Full;
-use hyper::body::Bytes;
 use hyper::http::request::Parts;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, StatusCode};
 use oatlever::round::Address;
 use oatlever_guard::{Check, Override, Pin};
-use oatlever_tables::{Kept, Refusal};
+use oatlever_tables::{Kept, Lines, Refusal};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
@@ -204,18 +202,14 @@
     let parts: Vec<&str> = path.split('/').collect();
     let method = &request.method;
     let answer = match (command(method, &parts), Word::read(method, &parts)) {
-        (Some(Command::Lay { table, .. }), _) => lay(pilot, table, body),
-        (Some(command), _) => act(pilot, &command).map_err(|e| e.to_string()),
+        (Some(command), _) => act(pilot, &command, body),
         (_, Some(word)) => say(pilot, &word),
         (None, None) => Err("no such command".to_string()),
     };
-    let (status, text) = match answer {
-        Ok(value) => (StatusCode::OK, value.to_string()),
-        Err(what) => (StatusCode::BAD_REQUEST, what),
-    };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    response
+    match answer {
+        Ok(value) => pages::answer(StatusCode::OK, "application/json", value.to_string()),
+        Err(what) => pages::answer(StatusCode::BAD_REQUEST, "text/plain", what),
+    }
 }
 
 fn command(method: &Method, parts: &[&str]) -> Option<Command> {
@@ -239,29 +233,22 @@
     })
 }
 
-fn lay(pilot: &Pilot, table: u16, body: &[u8]) -> Result<Value, String> {
+/// Lines written by hand. Errors: they are none.
+fn written(body: &[u8]) -> Result<Lines, String> {
     let written: BTreeMap<SocketAddrV4, f64> = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     if let Some((server, weight)) = written.iter().find(|(_, weight)| **weight < 0.0) {
         return Err(format!("{server}: a weight of {weight}"));
     }
     let address = |host: SocketAddrV4| Address { host: host.ip().octets(), port: host.port() };
-    let lines = written.into_iter().map(|(host, weight)| (address(host), weight)).collect();
-    let mut core = pilot.core.borrow_mut();
-    let now = core.now();
-    let laid = core.by_hand(|tables, review| tables.freeze(table, lines, now, review));
-    let version = laid.map_err(|e| e.to_string())?;
-    drop(core);
-    tracing::warn!(table, version, "a table laid by hand");
-    pilot.changed.notify(usize::MAX);
-    Ok(json!({"version": version}))
+    Ok(written.into_iter().map(|(host, weight)| (address(host), weight)).collect())
 }
 
-fn act(pilot: &Pilot, command: &Command) -> Result<Value, Refusal> {
+fn act(pilot: &Pilot, command: &Command, body: &[u8]) -> Result<Value, String> {
     let mut core = pilot.core.borrow_mut();
     let now = core.now();
-    let find = |table: u16, version: u64| -> Result<Kept, Refusal> {
-        let versions = core.tables.versions(table).ok_or(Refusal::NoTable)?;
-        versions.find(version).cloned().ok_or(Refusal::NoVersion)
+    let find = |table: u16, version: u64| -> Result<Kept, String> {
+        let versions = core.tables.versions(table).ok_or(Refusal::NoTable.to_string())?;
+        versions.find(version).cloned().ok_or(Refusal::NoVersion.to_string())
     };
     let changed = match command {
         Command::List => {
@@ -289,11 +276,15 @@
             return Ok(Value::Object(lines.collect()));
         }
         Command::Rollback { table, version } => {
-            core.by_hand(|tables, review| tables.roll_back(*table, *version, now, review))?
+            core.by_hand(|tables, review| tables.roll_back(*table, *version, now, review))
+        }
+        Command::Lay { table, .. } => {
+            let lines = written(body)?;
+            core.by_hand(|tables, review| tables.freeze(*table, lines, now, review))
         }
-        Command::Lay { .. } => return Err(Refusal::Empty),
-        Command::Release { table } => core.by_hand(|tables, review| tables.release(*table, now, review))?,
+        Command::Release { table } => core.by_hand(|tables, review| tables.release(*table, now, review)),
     };
+    let changed = changed.map_err(|refusal| refusal.to_string())?;
     drop(core);
     tracing::warn!(?command, version = changed, "tables changed by hand");
     pilot.changed.notify(usize::MAX);
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -22,14 +22,14 @@
     registry.register(name, help, gauge);
 }
 
-fn counts(
+fn counts<'a, K: ToString + 'a>(
     registry: &mut Registry,
     (name, help, label): (&str, &str, &str),
-    values: impl IntoIterator<Item = (String, u64)>,
+    values: impl IntoIterator<Item = (&'a K, &'a u64)>,
 ) {
     let family: Family<Labels, Counter> = Family::default();
     for (value, number) in values {
-        family.get_or_create(&vec![(label.to_string(), value)]).inc_by(number);
+        family.get_or_create(&vec![(label.to_string(), value.to_string())]).inc_by(*number);
     }
     registry.register(name, help, family);
 }
@@ -49,8 +49,7 @@
     measure(r, "servers_listed", "Servers on the list", core.book.members().len() as f64);
     let age = core.list_heard.map_or(f64::INFINITY, |at| now - at);
     measure(r, "list_age_seconds", "Since the last list that could be read", age);
-    let lists = core.counts.lists.iter().map(|(kind, n)| (kind.to_string(), *n));
-    counts(r, ("lists", "Readings of the list, by what they were", "kind"), lists);
+    counts(r, ("lists", "Readings of the list, by what they were", "kind"), &core.counts.lists);
     count(r, "readings", "Readings of counters", core.counts.readings);
     count(r, "readings_missed", "Readings of counters that failed", core.counts.readings_missed);
     count(r, "readings_anew", "Readings with nothing to compare with", core.counts.readings_anew);
@@ -61,8 +60,7 @@
     measure(r, "channel_waiting_lines_most", "The most that ever waited", core.tables.pull.most);
     count(r, "channel_messages", "Changes ordered, counted at each asker", core.tables.pull.ordered);
     count(r, "dns_questions", "Questions that came", front.counts.questions);
-    let answers = front.counts.answers.iter().map(|(code, n)| (code.to_string(), *n));
-    counts(r, ("dns_answers", "Answers, by response code", "code"), answers);
+    counts(r, ("dns_answers", "Answers, by response code", "code"), &front.counts.answers);
     count(r, "dns_dropped", "Packets that are no question", front.counts.dropped);
     count(r, "dns_limited", "Questions over a source's limit, not answered", front.counts.limited);
     count(r, "dns_shortened", "Questions over a source's limit, answered truncated", front.counts.shortened);
@@ -71,12 +69,9 @@
     count(r, "dns_strangers", "Questions from no asker of the settings", front.counts.strangers);
     measure(r, "dns_connections", "Open TCP connections", pilot.gate.open() as f64);
     if let Some(guarding) = &core.guarding {
-        let told = |counts: &std::collections::BTreeMap<&'static str, u64>| -> Vec<(String, u64)> {
-            counts.iter().map(|(name, n)| (name.to_string(), *n)).collect()
-        };
         let guard = &guarding.guard;
-        counts(r, ("guard_findings", "What the guard found wrong, by check", "check"), told(&guard.findings));
-        counts(r, ("guard_verdicts", "Verdicts of the guard, by outcome", "outcome"), told(&guard.outcomes));
+        counts(r, ("guard_findings", "What the guard found wrong, by check", "check"), &guard.findings);
+        counts(r, ("guard_verdicts", "Verdicts of the guard, by outcome", "outcome"), &guard.outcomes);
     }
     if let Some(streams) = &*pilot.streams.borrow() {
         let met = streams.counts.borrow();
@@ -90,8 +85,7 @@
         count(r, "xds_keys_renewed", "Keys taken up from changed files", met.keys_renewed);
         count(r, "xds_keys_left", "Changed keys that could not be used", met.keys_left);
         count(r, "xds_loads", "Load reports", met.loads);
-        let ended = met.ended.iter().map(|(why, n)| (why.to_string(), *n));
-        counts(r, ("xds_ended", "Streams that ended", "why"), ended);
+        counts(r, ("xds_ended", "Streams that ended", "why"), &met.ended);
     }
     let mut text = String::new();
     encode(&mut text, &whole)?;
--- a/pilot/src/pages.rs
+++ b/pilot/src/pages.rs
@@ -5,9 +5,10 @@
 use futures_lite::{future, AsyncRead, AsyncWrite};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 use std::cell::Cell;
 use std::error::Error;
@@ -26,6 +27,14 @@
 
 pub type Page = Response<Full<Bytes>>;
 
+/// A page of a status, a media type and a text.
+pub fn answer(status: StatusCode, kind: &'static str, text: String) -> Page {
+    let mut page = Response::new(Full::new(Bytes::from(text)));
+    *page.status_mut() = status;
+    page.headers_mut().insert("content-type", HeaderValue::from_static(kind));
+    page
+}
+
 /// Serves pages for ever on what `accept` brings.
 pub async fn serve<T: AsyncRead + AsyncWrite + Unpin + 'static>(
     accept: impl AsyncFn() -> io::Result<T>,
--- a/pilot/src/status.rs
+++ b/pilot/src/status.rs
@@ -5,10 +5,8 @@
 use crate::serve::Pilot;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use http_body_util::Full;
-use hyper::body::Bytes;
 use hyper::http::request::Parts;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, StatusCode};
 use oatlever_tables::Change;
 use serde_json::{json, Value};
 use std::io;
@@ -43,10 +41,7 @@
         (&Method::GET, _) => (StatusCode::NOT_FOUND, "text/plain", "/metrics, /status, /changes\n".into()),
         _ => (StatusCode::METHOD_NOT_ALLOWED, "text/plain", "GET only\n".into()),
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
-    response
+    pages::answer(status, kind, text)
 }
 
 fn status(pilot: &Pilot) -> Value {
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -3,18 +3,13 @@
 use crate::askers::Asker;
 use crate::script::{Front, SERVICE_PORT};
 use crate::world::World;
-use async_executor::LocalExecutor;
 use async_io::Timer;
-use futures_lite::StreamExt;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::body::{Bytes, Incoming};
 use oatlever_xds::grpc::{framed, Reader, Status};
-use oatlever_xds::{methods, Local};
+use oatlever_xds::{call, methods};
 use prost::Message;
 use siphasher::sip::SipHasher24;
-use smol_hyper::rt::FuturesIo;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::hash::Hasher;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -39,30 +34,6 @@
 
 type Sender = async_channel::Sender<Bytes>;
 
-/// Calls a method with a first message: further ones go in by the sender, answers come out of the reader. Dropping the sender ends it.
-async fn call(
-    from: Ipv4Addr,
-    to: SocketAddr,
-    path: &str,
-    executor: Rc<LocalExecutor<'static>>,
-    first: Bytes,
-) -> Option<(Sender, Reader<Incoming>)> {
-    let socket = oatlever_fetch::connect(to, Some(SocketAddr::from((from, 0)))).await.ok()?;
-    let local = Local(executor.clone());
-    let (mut requests, connection) =
-        hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await.ok()?;
-    executor.spawn(async move { drop(connection.await) }).detach();
-    let (sender, receiver) = async_channel::unbounded::<Bytes>();
-    sender.try_send(first).ok()?;
-    let body = StreamBody::new(receiver.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes))));
-    let uri = format!("http://{to}{path}");
-    let request =
-        hyper::Request::post(uri).header("content-type", "application/grpc").header("te", "trailers");
-    let response = requests.send_request(request.body(body.boxed_unsync()).ok()?);
-    let reader = response.await.ok()?.into_body();
-    Some((sender, Reader::new(reader, MOST)))
-}
-
 fn node(asker: &Asker) -> Option<core::Node> {
     Some(core::Node { id: asker.host.to_string(), ..Default::default() })
 }
@@ -191,9 +162,16 @@
     Ok(())
 }
 
-/// A stream with its first message on the way.
+/// A stream with its first message on the way: further ones go in by the sender, answers come out of the
+/// reader. Dropping the sender ends it.
 async fn open(asker: &Asker, world: &World, path: &str, first: Bytes) -> Option<(Sender, Reader<Incoming>)> {
-    call(asker.host, world.realm.xds(), path, world.executor.clone(), first).await
+    let host = world.realm.xds();
+    let socket = oatlever_fetch::connect(host, Some(SocketAddr::from((asker.host, 0)))).await.ok()?;
+    let (sender, receiver) = async_channel::unbounded();
+    sender.try_send(first).ok()?;
+    let (response, open) = call(socket, (host, path), receiver, &world.executor).await.ok()?;
+    open.detach();
+    Some((sender, Reader::new(response.into_body(), MOST)))
 }
 
 /// Reports what was met, as often as the pilot asks for it.
--- a/xds/src/lib.rs
+++ b/xds/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! `session` is the state machine of one stream, without I/O; `resources` writes listeners, routes, clusters
 //! and endpoints of what tables say; `load` reads load reports of proxies and `orca` those of servers; `digest`
-//! is what versions carry for proxies to check; `grpc` frames messages; `server` holds the
+//! is what versions carry for proxies to check; `grpc` frames messages; `client`
+//! is the calling side; `server` holds the
 //! sockets. Nothing here decides on routing: see `docs/notes/0002-xds.md`.
 
+mod client;
 pub mod digest;
 pub mod grpc;
 mod load;
@@ -13,6 +15,7 @@
 mod server;
 pub mod session;
 
+pub use client::call;
 pub use load::{Load, Met};
 pub use resources::{Class, Library, Place};
 pub use server::{serve, Desk, Limits, Local, Shared};
--- a/xds/src/orca.rs
+++ b/xds/src/orca.rs
@@ -1,17 +1,14 @@
 //! Load that servers report out of band: a stream to each server that gives one (ORCA, `OpenRcaService`).
 
+use crate::client::call;
 use crate::grpc::{framed, Reader};
-use crate::server::Local;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::{future, stream, StreamExt};
-use http_body_util::StreamBody;
-use hyper::body::{Frame, Incoming};
+use futures_lite::{future, stream};
+use hyper::body::Incoming;
 use oatlever::round::Address;
-use smol_hyper::rt::FuturesIo;
 use std::collections::{BTreeMap, HashMap};
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::rc::Rc;
@@ -79,18 +76,11 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> Option<(Reader<Incoming>, Task<()>)> {
     let socket = Async::<TcpStream>::connect(SocketAddr::V4(host)).await.ok()?;
-    let local = Local(executor.clone());
-    let (mut requests, connection) =
-        hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await.ok()?;
-    let open = executor.spawn(async move { drop(connection.await) });
     let report_interval = ProtoDuration { seconds: interval as i64, nanos: (interval.fract() * 1e9) as i32 };
     let wanted = Request { report_interval: Some(report_interval), ..Request::default() };
-    let body = stream::once(Ok::<_, Infallible>(Frame::data(framed(&wanted))));
-    let request = hyper::Request::post(format!("http://{host}{METHOD}"))
-        .header("content-type", "application/grpc")
-        .header("te", "trailers");
-    let response = requests.send_request(request.body(StreamBody::new(body.boxed_local())).ok()?);
-    Some((Reader::new(response.await.ok()?.into_body(), MOST), open))
+    let to = (SocketAddr::V4(host), METHOD);
+    let (response, open) = call(socket, to, stream::once(framed(&wanted)), &executor).await.ok()?;
+    Some((Reader::new(response.into_body(), MOST), open))
 }
 
 /// What comes within the time that a report may take; none where nothing does.
--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -332,11 +332,17 @@
         }
     }
 
+    /// That a certificate has run out, if it has.
+    fn expired(&self, until: f64) -> Option<Status> {
+        let expired = || Status::new(Code::Unauthenticated, "the client certificate has run out");
+        (self.desk.unix() >= until).then(expired)
+    }
+
     /// Why a stream must end now: its proxy has kept its pilot waiting for too long, or may no longer come as
     /// the node that it came as.
     fn trouble(&self, stream: &Stream) -> Option<Status> {
-        if self.desk.unix() >= stream.until {
-            return Some(Status::new(Code::Unauthenticated, "the client certificate has run out"));
+        if let Some(expired) = self.expired(stream.until) {
+            return Some(expired);
         }
         let now = self.desk.now();
         let late = |since: f64| now - since > self.limits.patience;
@@ -564,8 +570,8 @@
                     Err(status) => break status,
                 },
             };
-            if peer.as_ref().is_some_and(|peer| peer.until <= shared.desk.unix()) {
-                break Status::new(Code::Unauthenticated, "the client certificate has run out");
+            if let Some(expired) = peer.as_ref().and_then(|peer| shared.expired(peer.until)) {
+                break expired;
             }
             let read = report.cluster_stats.iter().filter_map(load::read);
             shared.counts.borrow_mut().loads += 1;
--- a/xds/tests/front/harness.rs
+++ b/xds/tests/front/harness.rs
@@ -3,19 +3,17 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::{future, AsyncRead, AsyncWrite, StreamExt};
-use http_body_util::StreamBody;
-use hyper::body::{Bytes, Frame, Incoming};
+use futures_lite::{future, AsyncRead, AsyncWrite};
+use hyper::body::{Bytes, Incoming};
 use oatlever::round::{Address, Writer};
 use oatlever_identity::{Grants, Keys, Node as Known, Peer};
 use oatlever_tables::{Kind as AskerKind, News, Pull, Tables, View};
 use oatlever_xds::grpc::{framed, Reader};
-use oatlever_xds::{methods, serve, Class, Desk, Limits, Load, Local, Shared};
+use oatlever_xds::{call, methods, serve, Class, Desk, Limits, Load, Shared};
 use prost::Message;
-use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -185,16 +183,11 @@
         play: &Play,
         path: &str,
         first: Bytes,
-    ) -> hyper::Result<Call> {
-        let local = Local(play.executor.clone());
-        let (mut requests, connection) =
-            hyper::client::conn::http2::handshake(local, FuturesIo::new(socket)).await?;
-        play.executor.spawn(async move { drop(connection.await) }).detach();
+    ) -> io::Result<Call> {
         let (sender, receiver) = async_channel::unbounded();
         sender.try_send(first).unwrap();
-        let body = StreamBody::new(Box::pin(receiver.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)))));
-        let request = hyper::Request::post(format!("http://{}{path}", play.host)).body(body).unwrap();
-        let response = requests.send_request(request).await?;
+        let (response, open) = call(socket, (play.host, path), receiver, &play.executor).await?;
+        open.detach();
         let status = response.headers().get("grpc-status").map(|s| s.to_str().unwrap().parse().unwrap());
         Ok(Call { sender, reader: Reader::new(response.into_body(), 1 << 20), status })
     }
