--- a/benches/src/verdicts.rs
+++ b/benches/src/verdicts.rs
@@ -26,6 +26,7 @@
         servers: (0..servers).map(|n| (server(n), ready(n))).collect(),
         demand: (0..tables).map(|table| (table, 10.0 * f64::from(servers) / f64::from(tables))).collect(),
         measured_at: 1000.0,
+        failing: 0.0,
         cold_share: 0.2,
         warm_within: 100.0,
         fall_multiple: 2.5,
--- a/guard/src/checks.rs
+++ b/guard/src/checks.rs
@@ -5,7 +5,7 @@
 use oatlever::round::Address;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
@@ -27,6 +27,8 @@
     Overload,
     /// A cold one past what it can take.
     ColdOverload,
+    /// A cold one past what it can take once the server of the greatest part is lost.
+    Fragile,
     /// A class that must not run twice, with further tries where it may have run.
     Twice,
     /// An operator's pin is broken.
@@ -44,6 +46,7 @@
             Check::Moved => "moved",
             Check::Overload => "overload",
             Check::ColdOverload => "cold_overload",
+            Check::Fragile => "fragile",
             Check::Twice => "twice",
             Check::Pinned => "pinned",
         }
@@ -83,6 +86,12 @@
             Check::ColdOverload => {
                 write!(f, "{found:.2} queries a second for a cold server that may have {limit:.2}")
             }
+            Check::Fragile => {
+                write!(
+                    f,
+                    "{found:.2} queries a second for a cold server that may have {limit:.2}, if the next is lost"
+                )
+            }
             Check::Twice => {
                 write!(f, "further tries after any failure for class {found}, which must not run twice")
             }
@@ -118,11 +127,42 @@
     /// As it was about `window` ago, by parts.
     pub earlier: &'a Lines,
     pub typical: Option<f64>,
+    /// Zones that other tables go to, once all that are on their way are laid.
+    pub elsewhere: &'a BTreeSet<u16>,
 }
 
 /// What checks leave room for, as parts are sums of many.
 const SLACK: f64 = 1e-9;
 
+/// The two greatest parts of a table.
+pub struct Greatest {
+    first: Option<Address>,
+    parts: (f64, f64),
+}
+
+impl Greatest {
+    pub fn of(parts: &Lines) -> Self {
+        let mut found = Greatest { first: None, parts: (0.0, 0.0) };
+        for (server, part) in parts {
+            if *part > found.parts.0 {
+                found = Greatest { first: Some(*server), parts: (*part, found.parts.0) };
+            } else {
+                found.parts.1 = part.max(found.parts.1);
+            }
+        }
+        found
+    }
+
+    /// The greatest part beside a server's.
+    pub fn beside(&self, server: &Address) -> f64 {
+        if self.first == Some(*server) {
+            self.parts.1
+        } else {
+            self.parts.0
+        }
+    }
+}
+
 impl Sight<'_> {
     fn server(&self, server: &Address) -> Option<&Server> {
         self.state.servers.get(server)
@@ -243,7 +283,8 @@
         self.taken(Check::Cut, lost, found, self.figures.cut_part)
     }
 
-    /// A zone that had a part of this table and has none, nor a line in any other.
+    /// A zone that had a part of this table and has none, nor a line in any other: tables that leave it in one
+    /// round are judged as if all of them were laid, or each would be let go for the sake of the next.
     pub fn zone_cut(&self, parts: &Lines) -> Option<Finding> {
         // That no line is left at all is found by itself.
         if parts.is_empty() {
@@ -254,21 +295,13 @@
             let most = had.entry(zone).or_default();
             *most = part.max(*most);
         }
-        let lost =
-            had.into_iter().filter(|(zone, part)| *part > self.figures.zone_part && !left.contains_key(zone));
-        for (zone, _) in lost {
-            let servers = self.state.servers.iter().filter(|(_, s)| s.zone == zone);
-            if servers.clone().any(|(server, _)| self.loads.names(self.table, server)) {
-                continue;
-            }
-            let open = servers.filter(|(server, _)| self.is_open(server));
+        had.retain(|zone, part| *part > self.figures.zone_part && !left.contains_key(zone));
+        had.into_keys().filter(|zone| !self.elsewhere.contains(zone)).find_map(|zone| {
+            let open = self.open().filter(|(_, s)| s.zone == zone);
             let open: Vec<Address> = open.map(|(server, _)| *server).collect();
-            if !open.is_empty() {
-                let count = open.len() as f64;
-                return Some(self.finding(Check::ZoneCut, open, f64::from(zone), count));
-            }
-        }
-        None
+            let count = open.len() as f64;
+            (count > 0.0).then(|| self.finding(Check::ZoneCut, open, f64::from(zone), count))
+        })
     }
 
     pub fn moved(&self, parts: &Lines) -> Option<Finding> {
@@ -304,6 +337,36 @@
         told.map(|(check, (_, servers, load, limit))| self.finding(check, servers, load, limit)).collect()
     }
 
+    /// Queries a second that may come to a server once the one of the greatest part beside it is lost: proxies
+    /// stay away from it and its part goes to the others, as the table weighs them.
+    fn load_after_loss(&self, server: &Address, parts: &Lines, greatest: &Greatest) -> f64 {
+        let left = 1.0 - greatest.beside(server);
+        self.load(server, if left > SLACK { (part(parts, server) / left).min(1.0) } else { 1.0 })
+    }
+
+    /// A cold server that would fall over if another server failed, where warm ones could be named beside it.
+    /// Warm ones past what they may have for a moment are slow and not lost.
+    pub fn fragile(&self, parts: &Lines) -> Option<Finding> {
+        let mut rest = self.open().filter(|(server, s)| self.state.is_warm(s) && !parts.contains_key(server));
+        rest.next()?;
+        let (greatest, former) = (Greatest::of(parts), Greatest::of(self.before));
+        let mut worst: Option<(f64, Address, f64, f64)> = None;
+        for server in parts.keys() {
+            let Some(s) = self.server(server).filter(|s| !self.state.is_warm(s)) else { continue };
+            let Some(limit) = self.state.capacity(s, self.typical, self.figures) else { continue };
+            let load = self.load_after_loss(server, parts, &greatest);
+            let before = self.load_after_loss(server, self.before, &former);
+            let grows = !self.before.contains_key(server) || load > before * (1.0 + SLACK);
+            // What is too much without any loss is found by itself.
+            let alone = self.load(server, part(parts, server)) > limit * (1.0 + SLACK);
+            let over = load / limit.max(f64::MIN_POSITIVE);
+            if grows && !alone && over > 1.0 + SLACK && worst.as_ref().is_none_or(|(most, ..)| over > *most) {
+                worst = Some((over, *server, load, limit));
+            }
+        }
+        worst.map(|(_, server, load, limit)| self.finding(Check::Fragile, vec![server], load, limit))
+    }
+
     pub fn pinned(&self, parts: &Lines) -> Option<Finding> {
         self.pins().find_map(|pin| {
             let named = parts.contains_key(&pin.server) || self.before.contains_key(&pin.server);
@@ -327,6 +390,7 @@
         }
         let over =
             |(server, part): (&_, &f64)| self.room(server).is_some_and(|room| *part > room * (1.0 + SLACK));
-        self.cold_only(lines).is_none() && self.pinned(lines).is_none() && !lines.iter().any(over)
+        let found = [self.cold_only(lines), self.pinned(lines), self.fragile(lines)];
+        found.iter().all(Option::is_none) && !lines.iter().any(over)
     }
 }
--- a/guard/src/evidence.rs
+++ b/guard/src/evidence.rs
@@ -39,9 +39,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     servers: BTreeMap<Address, Seen>,
-    /// Queries a second of each asker, all classes together, as last reported.
-    rates: BTreeMap<u16, f64>,
+    /// Queries a second of each asker by class, as last reported.
+    rates: BTreeMap<u16, BTreeMap<u8, f64>>,
     heard_at: Option<f64>,
+    /// Part of all tries that failed, by the last report.
+    failing: f64,
 }
 
 impl Evidence {
@@ -55,6 +57,11 @@
             *failed += one.failed;
             *answered += (one.tries - one.failed).max(0.0);
         }
+        if !met.is_empty() {
+            let (failed, answered) =
+                met.values().fold((0.0, 0.0), |(f, a), (_, failed, answered, _)| (f + failed, a + answered));
+            self.failing = failed / (failed + answered).max(1.0);
+        }
         for (server, (rate, failed, answered, span)) in met {
             let seen = self.servers.entry(server).or_default();
             if answered > 0.0 {
@@ -71,9 +78,9 @@
             self.servers.entry(answer.server).or_default().checked = Some((now, answer.fine));
         }
         if !queries.is_empty() {
-            let mut rates: BTreeMap<u16, f64> = BTreeMap::new();
+            let mut rates: BTreeMap<u16, BTreeMap<u8, f64>> = BTreeMap::new();
             for one in queries.iter().filter(|one| one.span > 0.0) {
-                *rates.entry(one.proxy).or_default() += one.came / one.span;
+                *rates.entry(one.proxy).or_default().entry(one.class).or_default() += one.came / one.span;
             }
             self.rates.extend(rates);
             self.heard_at = Some(now);
@@ -87,13 +94,25 @@
 
     /// Queries a second of an asker; what the settings say where none was heard.
     pub fn rate(&self, asker: u16, usual: f64) -> f64 {
-        self.rates.get(&asker).copied().unwrap_or(usual)
+        self.rates.get(&asker).map_or(usual, |classes| classes.values().sum())
+    }
+
+    /// Queries a second that came to askers, by class, for so many classes; none where none was heard.
+    pub fn by_class(&self, askers: impl Iterator<Item = u16>, classes: usize) -> Vec<f64> {
+        let mut sums = vec![0.0; classes];
+        for (class, rate) in askers.filter_map(|asker| self.rates.get(&asker)).flatten() {
+            if let Some(sum) = sums.get_mut(usize::from(*class)) {
+                *sum += rate;
+            }
+        }
+        sums
     }
 
     /// Writes servers and the age of the demand into a state.
     pub fn tell(&mut self, listed: impl Iterator<Item = (Address, Entry)>, state: &mut State) {
         let now = state.now;
         state.measured_at = self.heard_at.unwrap_or(now);
+        state.failing = self.failing;
         state.servers = listed
             .map(|(address, entry)| {
                 let seen = self.servers.entry(address).or_default();
--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -2,12 +2,13 @@
 
 use crate::checks::{Check, Finding, Pin, Sight};
 use crate::nearest::nearest;
+use crate::relief::Relief;
 use crate::state::{Figures, State};
 use crate::{parts, Lines, Loads};
 use oatlever::round::{NO_RETRY, ONCE_UNRUN};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -85,12 +86,19 @@
 
 #[derive(Clone, Debug, Default)]
 struct Held {
-    /// As laid last, by parts.
+    /// As laid last, by parts, and the zones that it goes to.
     lines: Lines,
+    zones: BTreeSet<u16>,
     /// As it was `window` to twice that ago, and the one to follow it.
     earlier: Lines,
     next: Lines,
     turned_at: f64,
+    /// Less than all is let in where not all fits.
+    relief: Option<Relief>,
+}
+
+fn zones(state: &State, lines: &Lines) -> BTreeSet<u16> {
+    lines.keys().filter_map(|server| state.servers.get(server)).map(|s| s.zone).collect()
 }
 
 /// Verdicts kept for people to ask about; fine ones are not.
@@ -104,6 +112,8 @@
     way: f64,
     pub loads: Loads,
     tables: BTreeMap<u16, Held>,
+    /// Zones of the tables that are to be judged in this round.
+    coming: BTreeMap<u16, BTreeSet<u16>>,
     pub pins: Vec<Pin>,
     pub overrides: Vec<Override>,
     /// Findings by check, and verdicts by outcome.
@@ -120,6 +130,7 @@
             way,
             loads: Loads::default(),
             tables: BTreeMap::new(),
+            coming: BTreeMap::new(),
             pins: Vec::new(),
             overrides: Vec::new(),
             findings: BTreeMap::new(),
@@ -138,6 +149,7 @@
             sight.zone_cut(parts),
             sight.moved(parts),
             sight.pinned(parts),
+            sight.fragile(parts),
         ]
         .into_iter()
         .flatten()
@@ -151,6 +163,20 @@
         self.overrides.iter().any(|o| o.check == check && o.until > now)
     }
 
+    /// The tables that are to be judged next, all of one round: each is judged as if the others were laid.
+    pub fn expect(&mut self, state: &State, proposals: &BTreeMap<u16, Lines>) {
+        let zones = |(table, lines): (&u16, &Lines)| (*table, zones(state, &parts(lines)));
+        self.coming = proposals.iter().map(zones).collect();
+    }
+
+    /// Zones that tables but one go to, once all that are on their way are laid.
+    fn elsewhere(&self, but: u16) -> BTreeSet<u16> {
+        let coming = self.coming.iter();
+        let laid = self.tables.iter().filter(|(table, _)| !self.coming.contains_key(table));
+        let zones = coming.chain(laid.map(|(table, held)| (table, &held.zones)));
+        zones.filter(|(table, _)| **table != but).flat_map(|(_, zones)| zones).copied().collect()
+    }
+
     /// Judges a table and says what is to be laid: the proposal itself (its weights untouched), or another.
     pub fn judge(&mut self, state: &State, table: u16, proposed: &Lines) -> (Verdict, Option<Lines>) {
         let wanted = parts(proposed);
@@ -158,7 +184,7 @@
         for (table, demand) in &state.demand {
             self.loads.demand(*table, *demand);
         }
-        let none = Held::default();
+        let (none, elsewhere) = (Held::default(), self.elsewhere(table));
         let held = self.tables.get(&table).unwrap_or(&none);
         let sight = Sight {
             state,
@@ -169,10 +195,16 @@
             before: &held.lines,
             earlier: &held.earlier,
             typical: state.typical(),
+            elsewhere: &elsewhere,
         };
         let findings = self.findings(&sight, proposed, &wanted);
         let (outcome, instead) = self.decide(&sight, &wanted, &findings);
         self.lay(state, table, instead.as_ref().unwrap_or(&wanted));
+        let fits = if let Outcome::Nearest { fits, .. } = outcome { fits } else { 1.0 };
+        let relief = &mut self.tables.entry(table).or_default().relief;
+        let mut follows = relief.unwrap_or(Relief::none(state.now));
+        follows.follow(fits, state.failing, state.now);
+        *relief = Some(follows).filter(|relief| relief.part < 1.0);
         let verdict = Verdict { table, at: state.now, findings, outcome };
         self.note(&verdict);
         (verdict, instead)
@@ -194,16 +226,17 @@
             return (Outcome::Kept, Some(sight.before.clone()));
         }
         let found = nearest(sight, wanted);
-        if found.lines.is_empty() {
+        // What was refused for its fragility alone goes out where the nearest is no better.
+        let fragile = findings.iter().all(|finding| finding.check == Check::Fragile);
+        if found.lines.is_empty() || fragile && sight.fragile(&found.lines).is_some() {
             return (Outcome::NothingBetter, None);
         }
         (Outcome::Nearest { moved: found.moved, fits: found.fits }, Some(found.lines))
     }
 
     /// What is in place before the guard was asked anything.
-    pub fn take_up(&mut self, table: u16, lines: &Lines, now: f64) {
-        let state = State { now, ..State::default() };
-        self.lay(&state, table, &parts(lines));
+    pub fn take_up(&mut self, state: &State, table: u16, lines: &Lines) {
+        self.lay(state, table, &parts(lines));
     }
 
     /// A table is laid by parts, judged or not.
@@ -218,6 +251,18 @@
             empty.clone_from(&held.lines);
         }
         held.lines.clone_from(lines);
+        held.zones = zones(state, lines);
+    }
+
+    /// Levels by class that may be let in of a table's queries, where not all of them fit and tries fail; the
+    /// classes' benefits and what came of them to the table's users go in.
+    pub fn levels(&self, table: u16, benefit: &[f64], demand: &[f64]) -> Option<Vec<f64>> {
+        self.relief(table).map(|relief| relief.levels(benefit, demand))
+    }
+
+    /// The part of a table's queries that is let in, where it is less than all.
+    pub fn relief(&self, table: u16) -> Option<&Relief> {
+        self.tables.get(&table)?.relief.as_ref().filter(|_| self.mode == Mode::Enforce)
     }
 
     fn note(&mut self, verdict: &Verdict) {
--- a/guard/src/lib.rs
+++ b/guard/src/lib.rs
@@ -7,15 +7,19 @@
 mod checks;
 mod evidence;
 mod guard;
+mod holders;
 mod loads;
 mod nearest;
+mod relief;
 mod state;
 
 pub use checks::{Check, Finding, Pin};
 pub use evidence::{Entry, Evidence};
 pub use guard::{Guard, Mode, Outcome, Override, Verdict};
+pub use holders::Holders;
 pub use loads::Loads;
 pub use nearest::{nearest, Nearest};
+pub use relief::Relief;
 pub use state::{Figures, Listed, Server, State};
 
 use oatlever::round::Address;
--- a/guard/src/loads.rs
+++ b/guard/src/loads.rs
@@ -52,8 +52,6 @@
 struct Sum {
     /// Queries a second.
     queries: f64,
-    /// Tables laid last that name it.
-    tables: u32,
     /// Tables with a line for it in any version in use.
     lines: u32,
 }
@@ -74,11 +72,10 @@
     line: &mut Line,
     change: impl FnOnce(&mut Line),
 ) {
-    let (most, named) = (line.most(), line.part > 0.0);
+    let most = line.most();
     change(line);
     let sum = sums.entry(server).or_default();
     sum.queries += (line.most() - most) * demand;
-    sum.tables = sum.tables + u32::from(line.part > 0.0) - u32::from(named);
 }
 
 impl Loads {
@@ -155,11 +152,4 @@
         let own = self.tables.get(&but).map_or(0.0, |held| held.demand) * self.most(but, server);
         self.sums.get(server).map_or(0.0, |sum| (sum.queries - own).max(0.0))
     }
-
-    /// Whether any table but one, as laid last, names a server.
-    pub fn names(&self, but: u16, server: &Address) -> bool {
-        let own = self.tables.get(&but).and_then(|held| held.lines.get(server));
-        let own = own.is_some_and(|line| line.part > 0.0);
-        self.sums.get(server).is_some_and(|sum| sum.tables > u32::from(own))
-    }
 }
--- a/guard/src/nearest.rs
+++ b/guard/src/nearest.rs
@@ -25,6 +25,27 @@
 
 /// The nearest safe table to the one in place, where `proposed` (by parts) must not go out.
 pub fn nearest(sight: &Sight, proposed: &Lines) -> Nearest {
+    let found = within(sight, proposed, None);
+    if sight.fragile(&found.lines).is_none() {
+        return found;
+    }
+    // No warm server may have so much that its loss pushes a cold one over; the cold ones get no more.
+    let is_warm = |server: &Address| sight.state.servers.get(server).is_none_or(|s| sight.state.is_warm(s));
+    let cold = found.lines.iter().filter(|(server, part)| **part > 0.0 && !is_warm(server));
+    let most = cold.map(|(server, part)| 1.0 - part / sight.room(server).unwrap_or(1.0).max(NOTHING));
+    let most = most.fold(1.0, f64::min).max(0.0);
+    let spread = within(sight, proposed, Some((&found.lines, most)));
+    let better = spread.fits >= found.fits && sight.fragile(&spread.lines).is_none();
+    if better {
+        spread
+    } else {
+        found
+    }
+}
+
+/// The nearest table that keeps everybody within his room; where `steady` is given, with no warm server past
+/// its part and no cold one past what its lines give.
+fn within(sight: &Sight, proposed: &Lines, steady: Option<(&Lines, f64)>) -> Nearest {
     let state = sight.state;
     let may = |server: &Address| state.servers.get(server).is_some_and(|s| !state.binds_away(s));
     let is_warm = |server: &Address| state.servers.get(server).is_some_and(|s| state.is_warm(s));
@@ -47,7 +68,10 @@
 
     let room = |server: &Address| {
         let pin = sight.pin(server);
-        let most = pin.map_or(1.0, |pin| pin.most);
+        let mut most = pin.map_or(1.0, |pin| pin.most);
+        if let Some((held, warm)) = steady {
+            most = most.min(if is_warm(server) { warm } else { part(held, server) });
+        }
         sight.room(server).unwrap_or(1.0).min(most)
     };
     let least = |server: &Address| sight.pin(server).map_or(0.0, |pin| pin.least).min(room(server));
--- a/guard/src/state.rs
+++ b/guard/src/state.rs
@@ -88,6 +88,8 @@
     pub demand: BTreeMap<u16, f64>,
     /// When that was, s.
     pub measured_at: f64,
+    /// Part of all tries that failed lately.
+    pub failing: f64,
     /// Part of its capacity that a server has when it starts.
     pub cold_share: f64,
     /// s; a server is warm so long after its start.
--- a/pilot/src/drill.rs
+++ b/pilot/src/drill.rs
@@ -109,7 +109,7 @@
         told.servers.insert(address(text).map_err(at(state))?, server);
     }
     let mut guard = Guard::new(known.figures, Mode::Enforce, 0.0);
-    guard.take_up(0, &lines(&known.in_place).map_err(at(state))?, NOW);
+    guard.take_up(&told, 0, &lines(&known.in_place).map_err(at(state))?);
     told.demand.insert(0, known.demand);
     let (verdict, instead) = guard.judge(&told, 0, &lines(&proposal.lines).map_err(at(table))?);
     let mut value = guarding::verdict(&verdict, NOW);
--- a/pilot/src/guarding.rs
+++ b/pilot/src/guarding.rs
@@ -1,7 +1,9 @@
 //! The guard between what was decided and the fronts: what it is told, and what is said of its verdicts.
 
 use oatlever::round::{Address, Readiness, Round};
-use oatlever_guard::{Entry, Evidence, Finding, Guard, Lines, Listed, Mode, Outcome, State, Verdict};
+use oatlever_guard::{
+    Entry, Evidence, Finding, Guard, Holders, Lines, Listed, Mode, Outcome, State, Verdict,
+};
 use oatlever_roster::Book;
 use oatlever_settings::Settings;
 use oatlever_tables::{Review, Tables};
@@ -11,6 +13,7 @@
 pub struct Guarding {
     pub guard: Guard,
     evidence: Evidence,
+    holders: Holders,
     pub state: State,
     /// What was last said of each table, so that the same is not said in every round.
     said: BTreeMap<u16, Verdict>,
@@ -33,7 +36,8 @@
             gone_binds: !settings.rules.gone_does_not_bind,
             ..State::default()
         };
-        Some(Guarding { guard, evidence: Evidence::default(), state, said: BTreeMap::new() })
+        let holders = Holders::new(settings.longest_use());
+        Some(Guarding { guard, evidence: Evidence::default(), holders, state, said: BTreeMap::new() })
     }
 
     /// Takes in what a round brought, and what the list says by now.
@@ -54,13 +58,19 @@
         };
         self.state.now = round.now;
         self.evidence.tell(known.into_iter().filter_map(entry), &mut self.state);
-        let demand = |table| tables.users(table).map(|asker| self.rate(asker, settings)).sum();
-        self.state.demand = tables.all().map(|(table, ..)| (table, demand(table))).collect();
+        for asker in 0..settings.askers.len() as u16 {
+            self.holders.bind(asker, tables.bound(asker), round.now);
+        }
+        self.holders.expire(round.now);
+        let all = tables.all().map(|(table, ..)| table).chain(self.holders.tables());
+        self.state.demand = all.map(|table| (table, self.demand(table, settings))).collect();
         self.guard.expire(round.now);
     }
 
-    fn rate(&self, asker: u16, settings: &Settings) -> f64 {
-        self.evidence.rate(asker, settings.askers[usize::from(asker)].usual_rate)
+    /// Queries a second of all who may hold a table.
+    fn demand(&self, table: u16, settings: &Settings) -> f64 {
+        let usual = |asker: u16| settings.askers[usize::from(asker)].usual_rate;
+        self.holders.of(table).map(|asker| self.evidence.rate(asker, usual(asker))).sum()
     }
 
     pub fn review<'a>(&'a mut self, settings: &'a Settings) -> Reviewer<'a> {
@@ -69,10 +79,18 @@
 }
 
 impl Review for Reviewer<'_> {
+    fn expect(&mut self, proposals: &BTreeMap<u16, Lines>) {
+        let of = &mut *self.of;
+        of.guard.expect(&of.state, proposals);
+    }
+
     fn lines(&mut self, table: u16, lines: &Lines, users: &BTreeSet<u16>) -> Option<Lines> {
         // Who was bound in this round counts already.
-        let demand = users.iter().map(|asker| self.of.rate(*asker, self.settings)).sum();
         let of = &mut *self.of;
+        for asker in users {
+            of.holders.bind(*asker, Some(table), of.state.now);
+        }
+        let demand = of.demand(table, self.settings);
         of.state.demand.insert(table, demand);
         let (verdict, instead) = of.guard.judge(&of.state, table, lines);
         let same = |old: &Verdict| {
@@ -91,9 +109,18 @@
         instead
     }
 
-    fn tries(&mut self, table: u16, class: u16, tries: u8) -> u8 {
-        let once = self.settings.classes[usize::from(class)].once;
-        self.of.guard.tries(table, class, once, tries, self.of.state.now)
+    fn level(&mut self, table: u16, class: u16, level: f64, tries: u8) -> (f64, u8) {
+        let classes = &self.settings.classes;
+        let place = usize::from(class);
+        let of = &mut *self.of;
+        let tries = of.guard.tries(table, class, classes[place].once, tries, of.state.now);
+        if of.guard.relief(table).is_none() {
+            return (level, tries);
+        }
+        let benefit: Vec<f64> = classes.iter().map(|class| class.benefit).collect();
+        let demand = of.evidence.by_class(of.holders.of(table), classes.len());
+        let most = of.guard.levels(table, &benefit, &demand).map_or(1.0, |levels| levels[place]);
+        (level.min(most), tries)
     }
 }
 
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -185,6 +185,7 @@
                 let second = seconds.entry(at as u64).or_default();
                 *second = (second.0 + answered, second.1 + asked);
             }
+            Event::Verdicts(_) | Event::Finding { .. } => {}
             Event::Waiting(lines) => {
                 verdict.most_waiting = verdict.most_waiting.max(*lines);
                 if *lines > script.most_waiting {
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -66,6 +66,13 @@
     PilotKilled,
     /// Lines that wait in the pilot's channel, as it states.
     Waiting(f64),
+    /// Verdicts of the pilot's guard on that day.
+    Verdicts(f64),
+    /// One that was not fine, as the guard told it at the day's end.
+    Finding {
+        check: String,
+        servers: Vec<Ipv4Addr>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -90,7 +97,11 @@
     }
 
     pub fn note(&self, event: Event) {
-        let at = self.now();
+        self.note_at(self.now(), event);
+    }
+
+    /// Something that happened before.
+    pub fn note_at(&self, at: f64, event: Event) {
         self.entries.borrow_mut().push(Entry { at, event });
     }
 
--- a/standins/tests/days.rs
+++ b/standins/tests/days.rs
@@ -114,6 +114,19 @@
     assert!(!kept && service(&report) < 0.9, "{report}");
 }
 
+/// The same hand, where everybody asks by DNS.
+#[test]
+fn the_guard_refuses_what_a_hand_lays_over_dns() {
+    let faults = json!([{"at": 4, "for": 7, "kind": "hand_lays"},
+                        {"at": 6, "for": 3, "kind": "list_lies", "part": 0.9}]);
+    let load = |mode| json!({"relays": 3, "relays_by": "dns", "relay_rate": 120, "guard": mode});
+    let report = day(18, 13.0, faults.clone(), load("enforce"));
+    assert!(service(&report) > 0.95, "{report}");
+    assert!(refused(&report, &["kept", "nearest"]) >= 3, "{report}");
+    let (_, report) = played(19, 13.0, faults, load("report"));
+    assert!(service(&report) < 0.9, "{report}");
+}
+
 /// A bad day: relays die, servers crash, hang, slow down, fail at once and lose answers.
 #[test]
 fn a_bad_day_keeps_the_rules() {
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -20,6 +20,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
+/// The level and the mode of further tries where none was ordered.
+const ALL: (f64, u8) = (1.0, 0);
+
 /// Versions kept of each table, where nothing else is set.
 const VERSIONS: usize = 64;
 
@@ -38,10 +41,12 @@
 
 /// Whoever looks at tables before they go out, and may put other lines in their place.
 pub trait Review {
+    /// The tables that are looked at next, all of one round, as they are wanted.
+    fn expect(&mut self, _proposals: &BTreeMap<u16, Lines>) {}
     /// Lines that are to go out instead; none where these may. `users` are those who use the table.
     fn lines(&mut self, table: u16, lines: &Lines, users: &BTreeSet<u16>) -> Option<Lines>;
-    /// The mode of further tries of a class that is to go out.
-    fn tries(&mut self, table: u16, class: u16, tries: u8) -> u8;
+    /// The level and the mode of further tries of a class that are to go out.
+    fn level(&mut self, table: u16, class: u16, level: f64, tries: u8) -> (f64, u8);
 }
 
 /// Lets everything out.
@@ -52,16 +57,18 @@
         None
     }
 
-    fn tries(&mut self, _: u16, _: u16, tries: u8) -> u8 {
-        tries
+    fn level(&mut self, _: u16, _: u16, level: f64, tries: u8) -> (f64, u8) {
+        (level, tries)
     }
 }
 
 #[derive(Clone, Debug, Default)]
 struct Table {
     lines: BTreeMap<Address, f64>,
-    /// By class.
+    /// By class, as ordered.
     levels: BTreeMap<u16, (f64, u8)>,
+    /// By class, as readers see them, where they are not let in whole and never tried again.
+    shown: BTreeMap<u16, (f64, u8)>,
     index: Index,
     version: u64,
     users: BTreeSet<u16>,
@@ -139,10 +146,15 @@
     pub fn held(&self, asker: u16, class: u16) -> Option<View<'_>> {
         let table = (*self.bound.get(usize::from(asker))?)?;
         let found = self.tables.get(usize::from(table))?;
-        let (level, tries) = found.levels.get(&class).copied().unwrap_or((1.0, 0));
+        let (level, tries) = found.shown.get(&class).copied().unwrap_or(ALL);
         Some(View { table, version: found.version, index: &found.index, level, tries })
     }
 
+    /// The table that an asker is bound to.
+    pub fn bound(&self, asker: u16) -> Option<u16> {
+        self.bound.get(usize::from(asker)).copied().flatten()
+    }
+
     /// Each table's number, version, lines and users.
     pub fn all(&self) -> impl Iterator<Item = (u16, u64, &Index, usize)> {
         let used = self.tables.iter().enumerate().filter(|(_, t)| !t.users.is_empty() || !t.lines.is_empty());
@@ -282,19 +294,26 @@
     /// those that changed, with the number of lines that moved.
     fn lay(&mut self, tables: &BTreeSet<u16>, open: &Open, review: &mut dyn Review) -> Vec<(u16, usize)> {
         let (mut laid, next) = (Vec::new(), self.version + 1);
-        for table in tables {
-            if usize::from(*table) >= self.tables.len() {
-                continue;
-            }
-            let own = self.usable(*table);
+        let there = tables.iter().filter(|table| usize::from(**table) < self.tables.len());
+        let wanted: BTreeMap<u16, Lines> = there.map(|table| (*table, self.usable(*table))).collect();
+        review.expect(&wanted);
+        for (table, own) in &wanted {
             let held = &mut self.tables[usize::from(*table)];
-            let instead = review.lines(*table, &own, &held.users);
+            let instead = review.lines(*table, own, &held.users);
             held.replaced = instead.is_some();
-            let index = Index::of(instead.unwrap_or(own));
-            let turned = open.turned.contains(table);
-            for (class, (_, tries)) in held.levels.iter_mut().filter(|_| turned) {
-                *tries = review.tries(*table, *class, *tries);
+            let lines = instead.as_ref().unwrap_or(own);
+            let index = Index::of(lines.iter().map(|(server, weight)| (*server, *weight)));
+            let mut shown = BTreeMap::new();
+            for class in 0..self.classes as u16 {
+                let ordered = held.levels.get(&class).copied().unwrap_or(ALL);
+                let level = review.level(*table, class, ordered.0, ordered.1);
+                held.replaced |= level.0 != ordered.0;
+                if level != ALL {
+                    shown.insert(class, level);
+                }
             }
+            let turned = open.turned.contains(table) || shown != held.shown;
+            held.shown = shown;
             let moved = moved(&held.index, &index);
             if moved.is_empty() && !turned {
                 continue;
@@ -304,7 +323,7 @@
             held.version = next;
             let lines = held.index.lines().iter().map(|line| (line.server, line.weight)).collect();
             held.versions.keep(Kept { version: next, at: open.now, lines }, self.kept);
-            let levels = if turned { held.levels.clone() } else { BTreeMap::new() };
+            let levels = if turned { held.shown.clone() } else { BTreeMap::new() };
             let (at, round, news) = (open.now, open.round, open.news);
             self.history.push(Change { version: next, at, round, news, table: *table, lines: moved, levels });
         }
