--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,7 +7,7 @@
 
 use crate::chance::Chance;
 use crate::round::{
-    Address, Channel, Levels, List, ListNews, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
+    Address, Channel, Levels, List, ListNews, Plan, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
     MARK_LINES, NO_LIMIT, NO_RETRY, ONCE_UNRUN,
 };
 use crate::state::{Change, Line, Proxy, Queue, Server, Table, Times};
@@ -118,6 +118,8 @@
     seats: usize,
     queue: Queue,
     line: Line,
+    /// When it came, and the plan.
+    plan: Option<(f64, Plan)>,
     times: Times,
 }
 
@@ -144,6 +146,25 @@
     (0..demand.len()).map(flow).collect()
 }
 
+/// Flows of a plan, as far as each zone's trusted capacity carries them; what it can't carry goes to zones
+/// with spare, as ever. Guards against a plan that is older than what happened to its servers since; could
+/// harm where it takes servers for stronger than they are, until their trust shows it.
+pub fn planned(plan: &Plan, demand: &[f64], capacity: &[f64]) -> Vec<Vec<f64>> {
+    let zones = capacity.len();
+    let asked = |to: usize| -> f64 { demand.iter().zip(&plan.parts).map(|(d, parts)| d * parts[to]).sum() };
+    let asked: Vec<f64> = (0..zones).map(asked).collect();
+    let most: Vec<f64> = capacity.iter().map(|c| c * plan.carries).collect();
+    let fits = |to: usize| if asked[to] > most[to] { most[to] / asked[to] } else { 1.0 };
+    let spare: Vec<f64> = (0..zones).map(|to| (most[to] - asked[to]).max(0.0)).collect();
+    let rest = if spare.iter().sum::<f64>() > 0.0 { spare } else { most.clone() };
+    let all = rest.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let flow = |parts: &Vec<f64>| {
+        let over: f64 = (0..zones).map(|to| parts[to] * (1.0 - fits(to))).sum();
+        (0..zones).map(|to| parts[to] * fits(to) + over * rest[to] / all).collect()
+    };
+    plan.parts.iter().map(flow).collect()
+}
+
 /// Levels by class: the line lets in this part of all queries, the most beneficial classes first.
 pub fn levels(line: f64, benefit: &[f64], demand: &[f64]) -> Vec<f64> {
     let mut order: Vec<usize> = (0..benefit.len()).collect();
@@ -177,6 +198,7 @@
             seats: 1,
             queue: Queue::default(),
             line: Line::default(),
+            plan: None,
             times: Times::default(),
         }
     }
@@ -193,6 +215,7 @@
             let (group, rate) = (proxy.group, stream.rate);
             *proxy = Proxy { zone, group, rate, joined: stream.up, ..Proxy::default() };
         }
+        self.plan = round.plan.clone().map(|plan| (now, plan)).or(self.plan.take());
         let urgent = !round.lists.is_empty() || !round.streams.is_empty();
         if urgent {
             self.deal();
@@ -534,22 +557,28 @@
     fn wanted_lines(&self, demand: &[f64], now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
         let zones = self.site.zones;
         let blind = self.times.heard_at.is_none_or(|at| now - at > STALE);
+        let plan = self.plan.as_ref().filter(|(at, plan)| now - at <= STALE && plan.parts.len() == zones);
+        let plan = plan.map(|(_, plan)| plan);
         let mut wanted = vec![BTreeMap::new(); self.tables.len()];
         for (group, demand) in demand.chunks(zones).enumerate() {
             // Capacity: servers times trust; a crowded zone counts less, none under the floor.
             let (mut parts, mut count, mut capacity) = (vec![0.0; zones], vec![0.0; zones], vec![0.0; zones]);
+            let mut trusted = vec![0.0; zones];
             let members = self.members(group, now);
             for (_, server) in &members {
                 count[server.zone] += if blind { server.trust } else { server.weight };
                 parts[server.zone] += server.weight * server.trust;
             }
             for zone in 0..zones {
+                trusted[zone] = parts[zone].max(FLOOR * count[zone]);
                 capacity[zone] = (parts[zone] * self.crowding[zone]).max(FLOOR * count[zone]);
             }
             let all = count.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-            let flows = match blind {
-                true => vec![count.iter().map(|c| c / all).collect(); zones],
-                false => kept_and_spilled(demand, &capacity),
+            let flows = match plan {
+                _ if blind => vec![count.iter().map(|c| c / all).collect(); zones],
+                // What a plan crowds it crowds on purpose, and knows what servers carry.
+                Some(plan) => planned(plan, demand, &trusted),
+                None => kept_and_spilled(demand, &capacity),
             };
             for (address, server) in members {
                 let part = server.weight * server.trust / parts[server.zone];
--- a/src/round.rs
+++ b/src/round.rs
@@ -165,6 +165,15 @@
     pub text: Vec<u8>,
 }
 
+/// Where queries should go by what servers cost.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Part of a zone's queries (first) that each zone should get; a zone's parts make 1.
+    pub parts: Vec<Vec<f64>>,
+    /// Queries a second that a unit of trusted weight may be asked for.
+    pub carries: f64,
+}
+
 /// All that came in for one pilot at one moment, each kind in the order it came.
 #[derive(Clone, Debug, Default)]
 pub struct Round {
@@ -178,6 +187,8 @@
     pub charges: Vec<Charge>,
     pub letters: Vec<Letter>,
     pub wakes: Vec<u64>,
+    /// Where servers have prices: the plan that holds from now on; one without parts ends it.
+    pub plan: Option<Plan>,
 }
 
 /// Modes of a further try. One after any failure could run an effect twice; it has no name here.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use oatlever::balance::{kept_and_spilled, levels};
+use oatlever::balance::{kept_and_spilled, levels, planned};
 use oatlever::round::*;
 use support::*;
 
@@ -25,6 +25,49 @@
     }
 }
 
+#[test]
+fn a_plan_holds_as_far_as_zones_carry_it() {
+    let plan = Plan { parts: vec![vec![0.25, 0.75], vec![0.0, 1.0]], carries: 10.0 };
+    // Zone 1 is asked for 30 + 20 of the 80 it carries; then it carries 25, and half of it spills.
+    let fits = planned(&plan, &[40.0, 20.0], &[9.0, 8.0]);
+    assert!(close(fits[0][0], 0.25) && close(fits[1][1], 1.0), "{fits:?}");
+    let spilled = planned(&plan, &[40.0, 20.0], &[9.0, 2.5]);
+    assert!(close(spilled[0][0], 0.625) && close(spilled[1][0], 0.5), "{spilled:?}");
+    // Nobody has anything to spare, or anybody at all.
+    for capacity in [[0.5, 0.5], [0.0, 1.0], [0.0, 0.0]] {
+        let flows = planned(&plan, &[40.0, 20.0], &capacity);
+        assert!(flows.iter().flatten().all(|part| part.is_finite() && *part >= 0.0), "{flows:?}");
+        assert!(capacity[1] == 0.0 || flows.iter().all(|f| close(f.iter().sum(), 1.0)), "{flows:?}");
+    }
+}
+
+/// A plan moves queries to a zone that costs less, for as long as it is fresh; one without parts ends it.
+#[test]
+fn a_plan_is_followed_until_it_is_old_or_ended() {
+    let mut play = Play::new(Site { zones: 2, ..site() }, rules(), channel(0));
+    play.round(&open(100.0, ready(6, 2), vec![join(0, 0), join(1, 1)]));
+    let mut now = 100.0;
+    let mut go = |seconds: u32, plan: Option<Plan>| {
+        for second in 0..seconds {
+            now += 1.0;
+            let mut round = at(now);
+            round.plan = plan.clone().filter(|_| second == 0);
+            for proxy in 0..2 {
+                round.queries.push(ProxyQueries { proxy, class: 0, came: 30.0, span: 1.0 });
+            }
+            round.tries = (0..6).map(|n| tries(n, n % 2, 10.0, 0.0, 0.2)).collect();
+            play.round(&round);
+        }
+        [0, 2, 4].iter().map(|n| play.book.part(1, *n)).sum::<f64>()
+    };
+    let cheap = Plan { parts: vec![vec![1.0, 0.0]; 2], carries: 100.0 };
+    assert!(go(6, None) < 0.01);
+    assert!(close(go(3, Some(cheap.clone())), 1.0));
+    assert!(go(3, Some(Plan::default())) < 0.01);
+    assert!(close(go(14, Some(cheap)), 1.0));
+    assert!(go(4, None) < 0.01, "an old plan is not gone by");
+}
+
 #[test]
 fn the_line_of_benefit_lets_in_the_most_beneficial_first() {
     // 60 of 100 queries: all 20 of benefit 3, all 30 of benefit 2, 10 of the 50 of benefit 1.
