--- a/cost/src/planner.rs
+++ b/cost/src/planner.rs
@@ -71,10 +71,14 @@
 /// A plan for the decisions, and how it was come by.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decided {
+    /// What it was made for.
+    pub model: Model,
     pub plan: Plan,
     pub orders: round::Plan,
 }
 
+/// Part of the tightest due time that the way to a server, there and back, may take: the rest is the answer's.
+const WAY: f64 = 0.5;
 /// Queries a second; a zone without any is planned for as if it had so many, so that its first find a way.
 const IDLE: f64 = 1e-3;
 
@@ -83,6 +87,8 @@
     pub figures: Figures,
     prices: Vec<f64>,
     links: Vec<Vec<Link>>,
+    /// s one way; queries go no farther.
+    reach: Option<f64>,
     pub carry: Carry,
     /// Queries a second, by asker.
     rates: BTreeMap<u16, f64>,
@@ -92,11 +98,13 @@
 }
 
 impl Planner {
-    /// `prices` are for a query answered, by zone; `links` from zone to zone.
-    pub fn new(figures: Figures, prices: Vec<f64>, links: Vec<Vec<Link>>) -> Self {
+    /// `prices` are for a query answered, by zone; `links` from zone to zone; `due_time` is the tightest of all
+    /// classes, s, as they share their tables.
+    pub fn new(figures: Figures, prices: Vec<f64>, links: Vec<Vec<Link>>, due_time: Option<f64>) -> Self {
+        let reach = due_time.map(|due_time| due_time * WAY / 2.0);
         let carry = Carry::new(figures.carries);
         let (rates, heard_at, parts) = Default::default();
-        Planner { figures, prices, links, carry, rates, heard_at, parts }
+        Planner { figures, prices, links, reach, carry, rates, heard_at, parts }
     }
 
     /// Takes in what a round brought of queries and tries, with the zones that servers are in and what they
@@ -145,7 +153,7 @@
     }
 
     fn model(&self, demand: &[f64], zones: &[Zone], carry: f64) -> Model {
-        let one = Class { name: String::new(), work: 1.0, benefit: 1.0, reach: None };
+        let one = Class { name: String::new(), work: 1.0, benefit: 1.0, reach: self.reach };
         let pool = |(zone, price): (usize, &f64)| Pool {
             zone,
             price: *price,
@@ -202,7 +210,7 @@
             _ => target,
         };
         let orders = round::Plan { parts, carries: carry * (1.0 - self.figures.headroom) };
-        Ok(Decided { plan, orders })
+        Ok(Decided { model, plan, orders })
     }
 
     /// Flows that parts stand for, at a model's demand.
--- a/cost/tests/planner.rs
+++ b/cost/tests/planner.rs
@@ -19,7 +19,7 @@
 impl Fleet {
     fn new(figures: Figures, prices: &[f64], links: Vec<Vec<Link>>, weight: f64) -> Self {
         let zones = vec![Zone { weight }; prices.len()];
-        Fleet { planner: Planner::new(figures, prices.to_vec(), links), zones, now: 100.0 }
+        Fleet { planner: Planner::new(figures, prices.to_vec(), links, Some(2.0)), zones, now: 100.0 }
     }
 
     fn hear(&mut self, demand: &[f64], loads: &[f64], time: f64) {
@@ -90,6 +90,16 @@
     assert!(fleet.plan().is_ok());
 }
 
+/// A zone that is too far for the tightest due time gets nothing, however cheap.
+#[test]
+fn queries_go_no_farther_than_they_may() {
+    let far = Link { time: 0.6, ..Link::default() };
+    let links = vec![vec![Link::default(), far], vec![far, Link::default()]];
+    let mut fleet = Fleet::new(stated(10.0), &[1.0, 9.0], links, 10.0);
+    let parts = fleet.settled(&[20.0, 20.0], &[20.0, 20.0]);
+    assert!(parts[1][0] < 1e-6 && parts[0][1] < 1e-6, "{parts:?}");
+}
+
 /// Prices that are equal or change by little under way move nothing; a gain that pays moves in steps.
 #[test]
 fn queries_move_only_for_what_pays() {
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -2,6 +2,7 @@
 //! what they order goes to the tables. Times are seconds on the pilot's own clock, which nothing steps.
 
 use crate::guarding::Guarding;
+use crate::planning::Planning;
 use crate::wakes::Wakes;
 use oatlever::balance::Balancer;
 use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream};
@@ -41,6 +42,7 @@
     balancer: Balancer,
     pub tables: Tables,
     pub guarding: Option<Guarding>,
+    pub planning: Option<Planning>,
     pub presence: Presence,
     pub book: Book,
     pub sums: Sums,
@@ -103,6 +105,7 @@
             ),
             tables: Tables::new(settings.askers.len(), classes, pull, HISTORY),
             guarding: Guarding::new(&settings),
+            planning: Planning::new(&settings),
             presence: Presence::new(&groups, settings.status.away_after),
             book: Book::default(),
             sums: Sums::new(settings.reports.period, names),
@@ -328,6 +331,10 @@
             let young = self.book.members().iter().filter(|(_, m)| now - m.started < warm_within);
             self.tables.spare(young.map(|(server, _)| *server).collect());
         }
+        if let Some(planning) = &mut self.planning {
+            let zone = |asker| self.owners.get(usize::from(asker)).map_or(0, |owner: &Owner| owner.zone);
+            round.plan = planning.plan(&round, &self.book, zone, &self.settings);
+        }
         let (version, news) = (self.tables.version(), News::of(&round));
         self.tables.open(now, self.counts.rounds, news);
         self.balancer.round(&round, &mut self.tables);
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -7,6 +7,8 @@
 mod logs;
 mod metrics;
 mod pages;
+mod plan;
+mod planning;
 mod serve;
 mod status;
 mod wakes;
@@ -51,6 +53,17 @@
         #[command(subcommand)]
         what: control::Command,
     },
+    /// Plan the cheapest flows offline: what goes where, what it costs, what one more server would save.
+    Plan {
+        /// A model as JSON: `plan.model` on a pilot's `/status`, or by hand; `--schema` prints what it keeps.
+        #[arg(required_unless_present = "schema")]
+        model: Option<PathBuf>,
+        /// Print the JSON Schema of models instead.
+        #[arg(long)]
+        schema: bool,
+        #[command(flatten)]
+        what: plan::What,
+    },
     /// The guard that looks at tables before they go out.
     Guard {
         #[command(subcommand)]
@@ -102,6 +115,14 @@
         Command::Tables { socket, what } => {
             what.request().and_then(|request| control::tell(&socket, request)).map_err(failed)
         }
+        Command::Plan { model, schema, what } => match plan::run(model.as_deref(), schema, &what) {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(ExitCode::FAILURE),
+            Err(e) => {
+                eprintln!("oatlever: {e}");
+                Err(ExitCode::from(WRONG))
+            }
+        },
         Command::Guard { what: Guard::At { socket, what } } => {
             control::tell(&socket, what.request()).map_err(failed)
         }
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -73,6 +73,14 @@
         counts(r, ("guard_findings", "What the guard found wrong, by check", "check"), &guard.findings);
         counts(r, ("guard_verdicts", "Verdicts of the guard, by outcome", "outcome"), &guard.outcomes);
     }
+    if let Some(planning) = &core.planning {
+        counts(r, ("plans", "Plans, by what came of them", "outcome"), &planning.outcomes);
+        if let Some((_, Ok(decided))) = &planning.last {
+            measure(r, "plan_cost", "Cost a second of the last plan", decided.plan.cost);
+            measure(r, "plan_bound", "What no plan could be cheaper than", decided.plan.bound);
+            measure(r, "plan_carries", "Queries a second of a unit of weight", decided.orders.carries);
+        }
+    }
     if let Some(streams) = &*pilot.streams.borrow() {
         let met = streams.counts.borrow();
         measure(r, "xds_streams", "Open discovery streams", streams.streams() as f64);
--- a/pilot/src/status.rs
+++ b/pilot/src/status.rs
@@ -70,6 +70,7 @@
         "version": core.tables.version(),
         "list": {"age": core.list_heard.map(|at| now - at), "trouble": core.list_trouble},
         "channel": {"waiting": core.tables.pull.waiting(), "most": core.tables.pull.most},
+        "plan": core.planning.as_ref().map(|planning| planning.explain(&core.settings, now)),
         "tables": tables.collect::<Vec<_>>(),
         "askers": askers.collect::<Vec<_>>(),
         "servers": servers.collect::<Vec<_>>(),
--- a/settings/src/checks.rs
+++ b/settings/src/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of the parts of the settings against each other.
 
-use crate::{Grant, Mistake, Settings, Xds};
+use crate::{Costs, Grant, Mistake, Settings, Xds};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
@@ -87,8 +87,43 @@
     }
 }
 
+/// Prices of zones that there are, all of them; ways between two of them.
+fn costs(s: &Settings, costs: &Costs, out: &mut Vec<Mistake>) {
+    let zones = format!("one of /zones: {}", s.zones.join(", "));
+    for (name, price) in &costs.prices {
+        let at = format!("/costs/prices/{name}");
+        if s.zone(name).is_none() {
+            out.push(wrong(at.clone(), format!("{name:?}"), &zones));
+        }
+        if !(price.is_finite() && *price >= 0.0) {
+            out.push(wrong(at, price, "a price of 0 or more"));
+        }
+    }
+    for name in s.zones.iter().filter(|name| !costs.prices.contains_key(*name)) {
+        out.push(wrong("/costs/prices".into(), format!("no {name:?}"), "a price for every zone"));
+    }
+    let mut ways: BTreeMap<(u16, u16), usize> = BTreeMap::new();
+    for (place, way) in costs.links.iter().enumerate() {
+        let at = format!("/costs/links/{place}/between");
+        let ends: Vec<u16> = way.between.iter().filter_map(|name| s.zone(name)).collect();
+        let [a, b] = ends[..] else {
+            out.push(wrong(at, way.between.join(", "), format!("two zones, each {zones}")));
+            continue;
+        };
+        if a == b {
+            out.push(wrong(at.clone(), format!("{:?} twice", way.between[0]), "two zones"));
+        }
+        if let Some(first) = ways.insert((a.min(b), a.max(b)), place) {
+            out.push(wrong(at, way.between.join(", "), format!("zones that link {first} does not have")));
+        }
+    }
+}
+
 pub fn across(s: &Settings) -> Vec<Mistake> {
     let mut out = Vec::new();
+    if let Some(found) = &s.costs {
+        costs(s, found, &mut out);
+    }
     labels_once("/zones", s.zones.iter().map(String::as_str), &mut out, "");
     labels_once("/classes", s.classes.iter().map(|c| c.name.as_str()), &mut out, "/name");
     if s.dns.origin.is_empty() || s.dns.origin.len() > 150 || !s.dns.origin.split('.').all(is_label) {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -9,6 +9,7 @@
 pub use shape::*;
 
 use oatlever::round;
+use oatlever_cost::Link;
 use std::fmt;
 
 /// Something wrong in the settings.
@@ -114,6 +115,21 @@
         self.classes.iter().map(class).collect()
     }
 
+    /// Prices by zone, and the ways between zones.
+    pub fn prices(&self, costs: &Costs) -> (Vec<f64>, Vec<Vec<Link>>) {
+        let prices = self.zones.iter().map(|zone| costs.prices.get(zone).copied().unwrap_or(0.0));
+        let mut links = vec![vec![Link::default(); self.zones.len()]; self.zones.len()];
+        for way in &costs.links {
+            let ends: Vec<u16> = way.between.iter().filter_map(|name| self.zone(name)).collect();
+            let [a, b] = ends[..] else { continue };
+            let link = Link { price: way.price, time: way.time, closed: way.closed };
+            for (from, to) in [(a, b), (b, a)] {
+                links[usize::from(from)][usize::from(to)] = link;
+            }
+        }
+        (prices.collect(), links)
+    }
+
     /// The channel of those who pull: `docs/notes/0001-running-pilot.md` says what each figure means.
     pub fn pull_channel(&self) -> round::Channel {
         round::Channel {
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -3,6 +3,7 @@
 use oatlever_guard::{Figures, Mode};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Settings of one pilot. Times are seconds.
@@ -36,6 +37,42 @@
     /// A look at every table before it goes out; none without.
     #[serde(default)]
     pub guard: Option<Guard>,
+    /// What servers and ways cost; queries stay in their zone as far as its servers go without.
+    #[serde(default)]
+    pub costs: Option<Costs>,
+}
+
+/// Prices, in any unit that all of them share.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Costs {
+    /// For a query answered, by the zone that answers it; of every zone.
+    pub prices: BTreeMap<String, f64>,
+    /// Ways between zones; a way that is not named costs nothing and takes no time.
+    #[serde(default)]
+    pub links: Vec<Way>,
+    #[serde(default)]
+    pub figures: oatlever_cost::Figures,
+}
+
+/// The way between two zones, there and back alike.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Way {
+    /// Two zones.
+    #[schemars(length(min = 2, max = 2))]
+    pub between: Vec<String>,
+    /// For each query that crosses it.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e9))]
+    pub price: f64,
+    /// s one way.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 3600.0))]
+    pub time: f64,
+    /// Nothing may cross it.
+    #[serde(default)]
+    pub closed: bool,
 }
 
 /// What tables must keep to go out, and what becomes of those that don't.
