--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod front;
+mod plans;
 mod streams;
 mod structures;
 mod verdicts;
@@ -29,6 +30,8 @@
     Streams,
     /// A verdict of the guard, by size and change; its index beside a recount.
     Verdicts,
+    /// A plan by size: anew, after a change, where not all fits.
+    Plans,
     /// Our structures beside plain ones.
     Structures,
 }
@@ -39,6 +42,7 @@
         What::Rounds => fleet::measure(),
         What::Streams => streams::measure(),
         What::Verdicts => verdicts::measure(),
+        What::Plans => plans::measure(),
         What::Structures => structures::measure(),
     }
 }
--- a/cost/src/carry.rs
+++ b/cost/src/carry.rs
@@ -1,20 +1,32 @@
 //! What servers can carry, learnt from how they fare: queries a second for a unit of weight.
 //!
-//! A rate that was answered well is proven; how much more there is shows only by asking for more. So the figure
-//! rises slowly while the fullest zones answer as quickly as ever, and falls quickly once they don't.
+//! A rate that is answered is proven; how much more there is shows only by asking for more. So the figure follows
+//! how long the fullest zones take: up while that is well under what is allowed, down while it is over, each in
+//! proportion, as a step that is too large swings from one zone to the next. It never falls under what is
+//! answered: servers that are past what they can do answer just that.
 
 use std::collections::BTreeMap;
 
 /// Part of the figure; a zone asked for so much tells whether it is right.
 const BUSY: f64 = 0.7;
-/// Times the usual time of a zone's answers; beyond it, queries wait. With a few cores a server, that is at four
-/// fifths of what it can do.
-const SLOW: f64 = 2.0;
-/// Part of a busy zone's tries that may fail.
+/// Times the usual time of a zone's answers that plans aim at: queries wait, and not for long. With a few cores a
+/// server, that is at about five sixths of what it can do.
+const SLOW: f64 = 2.5;
+/// Part of the tightest due time that they aim at, at most.
+const LATE: f64 = 0.5;
+/// Part of a busy zone's tries that fail and count for as much as being slow twice over.
 const FAILING: f64 = 0.05;
-/// Parts a second: down by a third in four seconds, up by a tenth in ten.
-const DOWN: f64 = 0.1;
-const UP: f64 = 0.01;
+/// Parts a second that the figure falls by where answers take twice as long as allowed or longer, and rises by
+/// where they take half of that. What is ordered shows some six seconds later, and nearly full servers take ten
+/// more to show it: by then it must not have risen by more than a tenth.
+const DOWN: f64 = 0.03;
+const UP: f64 = 0.006;
+/// The same before any zone was ever near what is allowed: what was seen first may be a quiet night.
+const SEARCH: f64 = 0.03;
+/// Part of the allowed time; nearer, the search is over.
+const NEAR: f64 = 0.7;
+/// Part of what is answered that the figure does not fall under.
+const ANSWERED: f64 = 0.9;
 /// s; rates and times fade over this, a few reports.
 const SPAN: f64 = 4.0;
 /// s; the usual time forgets half of its lead over what is seen in this: classes and software change.
@@ -47,17 +59,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Carry {
     stated: Option<f64>,
+    /// s; answers should take no longer.
+    most_time: f64,
     /// What it began with.
     first: Option<f64>,
     figure: Option<f64>,
     zones: BTreeMap<usize, Zone>,
     at: f64,
+    /// Some zone was near what is allowed before.
+    found: bool,
 }
 
 impl Carry {
-    /// `stated` is what the operators say of a unit of weight, queries a second.
-    pub fn new(stated: Option<f64>) -> Self {
-        Carry { stated, first: stated, figure: stated, ..Carry::default() }
+    /// `stated` is what the operators say that a unit of weight carries at most, queries a second; `due_time` the tightest of all
+    /// classes, s.
+    pub fn new(stated: Option<f64>, due_time: Option<f64>) -> Self {
+        let most_time = due_time.map_or(f64::INFINITY, |due_time| due_time * LATE);
+        Carry { stated, most_time, first: stated, figure: stated, ..Carry::default() }
     }
 
     /// Queries a second for a unit of weight; none before anything was seen or stated.
@@ -100,16 +118,26 @@
         let busy: Vec<&Zone> = self.zones.values().filter(|zone| zone.load >= BUSY * figure).collect();
         if busy.is_empty() {
             // What was stated is gone back to where nobody tells otherwise.
-            self.figure = self.stated.map(|stated| figure + (stated - figure) * UP * since).or(self.figure);
+            self.figure = self.stated.map(|stated| figure + (stated - figure) * DOWN * since).or(self.figure);
             return;
         }
-        let slow = |zone: &&&Zone| zone.time > SLOW * zone.usual || zone.failed > FAILING;
-        let strained = busy.iter().filter(slow).count() * 2 >= busy.len();
-        let next = match strained {
-            true => figure * (1.0 - DOWN * since),
-            false => busy.iter().map(|zone| zone.load).fold(figure, f64::max) * (1.0 + UP * since),
+        let way = |zone: &&Zone| {
+            let allowed = (SLOW * zone.usual).min(self.most_time).max(f64::MIN_POSITIVE);
+            (1.0 - zone.time / allowed - zone.failed / FAILING).clamp(-1.0, 0.5)
         };
-        let first = self.first.unwrap_or(next);
-        self.figure = Some(next.clamp(first / RANGE, first * RANGE));
+        let way = busy.iter().map(way).sum::<f64>() / busy.len() as f64;
+        let found = self.found || way < 1.0 - NEAR;
+        let answered = ANSWERED * busy.iter().map(|zone| zone.load).fold(0.0, f64::max);
+        let first = self.first.unwrap_or(figure);
+        let pace = match way {
+            way if way <= 0.0 => DOWN,
+            _ if found => 2.0 * UP,
+            _ => 2.0 * SEARCH,
+        };
+        let next = (figure * (pace * way * since).exp()).max(answered);
+        // The operators may have reasons that times don't show.
+        let most = self.stated.unwrap_or(first * RANGE);
+        self.figure = Some(next.clamp(first / RANGE, most));
+        self.found = found;
     }
 }
--- a/cost/src/plan.rs
+++ b/cost/src/plan.rs
@@ -50,6 +50,9 @@
 /// move in, and little enough that what it lets through counts as nothing.
 const LEEWAY: f64 = 1e-7;
 
+/// Part of the dearest price that leaving a zone counts as more, so that of equal ways the one at home is taken.
+const HOME: f64 = 1e-4;
+
 /// What moving a unit of work to another pool costs, and where it goes now.
 #[derive(Clone, Copy, Debug)]
 pub struct Steady<'a> {
@@ -76,10 +79,15 @@
             *held.entry((flow.source, flow.pool)).or_default() += flow.work;
         }
         let more = before.map_or(0.0, |before| before.price);
+        let prices =
+            sources.iter().flat_map(|(source, _)| (0..model.pools.len()).map(|p| model.price(*source, p)));
+        let dearest = prices.flatten().fold(0.0, f64::max).max(f64::MIN_POSITIVE);
         let mut ways = Vec::new();
         for (place, (source, _)) in sources.iter().enumerate() {
             for pool in 0..model.pools.len() {
                 let Some(price) = model.price(*source, pool) else { continue };
+                let away = source.zone != model.pools[pool].zone;
+                let price = if away { price + HOME * dearest } else { price };
                 let way = Way { source: place, pool, price, most: None };
                 if let Some(work) = held.get(&(*source, pool)).filter(|work| **work > 0.0 && more > 0.0) {
                     ways.push(Way { most: Some(*work), ..way });
@@ -89,8 +97,7 @@
         }
         let pools = (0..model.pools.len()).map(|pool| model.usable(pool)).collect();
         let whole: f64 = sources.iter().map(|(_, work)| work).sum();
-        let dearest = ways.iter().map(|way| way.price).fold(0.0, f64::max).max(f64::MIN_POSITIVE);
-        Network { model, sources, ways, pools, whole, dearest }
+        Network { model, sources, ways, pools, whole, dearest: dearest + more }
     }
 
     fn solve(
@@ -252,6 +259,10 @@
 
     /// Work a second that a pool is asked for.
     pub fn load(&self, pool: usize) -> f64 {
-        self.flows.iter().filter(|flow| flow.pool == pool).map(|flow| flow.work).sum()
+        self.flows
+            .iter()
+            .filter(|flow| flow.pool == pool)
+            .map(|flow| flow.work)
+            .fold(0.0, |sum, work| sum + work)
     }
 }
--- a/cost/src/planner.rs
+++ b/cost/src/planner.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Figures {
-    /// Queries a second that a unit of listed weight can carry; learnt from what is seen where left out.
+    /// Queries a second that a unit of listed weight can carry at most; learnt from what is seen where left out.
     #[schemars(range(min = 0.000001, max = 1e9))]
     pub carries: Option<f64>,
     /// Part of each zone's capacity that plans leave free.
@@ -40,7 +40,7 @@
     fn default() -> Self {
         Figures {
             carries: None,
-            headroom: 0.1,
+            headroom: 0.2,
             move_price: 1.0,
             pays_within: 60.0,
             step: 0.25,
@@ -79,6 +79,8 @@
 
 /// Part of the tightest due time that the way to a server, there and back, may take: the rest is the answer's.
 const WAY: f64 = 0.5;
+/// s; demand fades over this, as in the decisions: a report of a second is a handful of queries.
+const DEMAND_SPAN: f64 = 4.0;
 /// Queries a second; a zone without any is planned for as if it had so many, so that its first find a way.
 const IDLE: f64 = 1e-3;
 
@@ -90,7 +92,7 @@
     /// s one way; queries go no farther.
     reach: Option<f64>,
     pub carry: Carry,
-    /// Queries a second, by asker.
+    /// Queries a second by asker, faded.
     rates: BTreeMap<u16, f64>,
     heard_at: Option<f64>,
     /// Parts by zone and zone, as decided last.
@@ -102,7 +104,7 @@
     /// classes, s, as they share their tables.
     pub fn new(figures: Figures, prices: Vec<f64>, links: Vec<Vec<Link>>, due_time: Option<f64>) -> Self {
         let reach = due_time.map(|due_time| due_time * WAY / 2.0);
-        let carry = Carry::new(figures.carries);
+        let carry = Carry::new(figures.carries, due_time);
         let (rates, heard_at, parts) = Default::default();
         Planner { figures, prices, links, reach, carry, rates, heard_at, parts }
     }
@@ -123,7 +125,12 @@
             *rates.entry(one.proxy).or_default() += one.came / one.span;
         }
         if !rates.is_empty() {
-            self.rates.extend(rates);
+            let since = self.heard_at.map_or(f64::INFINITY, |at| now - at);
+            let new = 1.0 - (-since.max(0.0) / DEMAND_SPAN).exp();
+            for (asker, rate) in rates {
+                let held = self.rates.entry(asker).or_insert(rate);
+                *held += (rate - *held) * new;
+            }
             self.heard_at = Some(now);
         }
         if tries.is_empty() {
--- a/cost/tests/plans.rs
+++ b/cost/tests/plans.rs
@@ -224,7 +224,7 @@
         assert_eq!(next.moved > 0.01 * whole, moves, "{dearer}: {}", next.moved);
         assert!(next.cost + 0.5 * next.moved <= plan_cost(&changed, &first) + 1e-4 * next.cost);
     }
-    // All prices the same: the middle of all plans, whatever the order of pools.
+    // All prices the same: the same plan, whatever the order of pools.
     model.pools.iter_mut().for_each(|pool| pool.price = 1.0);
     model.links.clear();
     let one = plan(&model, None).unwrap();
--- /dev/null
+++ b/standins/src/cost.rs
@@ -0,0 +1,111 @@
+//! What a day cost, beside what it could have cost at best.
+//!
+//! Every query that a server began is paid for, at the price of its zone and of the way to it. The best is planned
+//! window by window after the fact: the same queries, from where they came, over the servers that ran, by what
+//! these can really do.
+
+use crate::record::{Entry, Event};
+use crate::script::Script;
+use oatlever_cost::{plan, Class, Link, Model, Pool};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+/// s; queries of so long are planned for together.
+const WINDOW: f64 = 5.0;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    pub paid: f64,
+    pub best: f64,
+    /// The most work that came to a zone's servers in a window, over what they could do.
+    pub fullest: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Window {
+    /// Queries begun, by the zone that they came from and the zone that they ran in.
+    ran: BTreeMap<(usize, usize), f64>,
+    /// Seconds of work that came, by zone.
+    work: BTreeMap<usize, f64>,
+}
+
+/// The zone of an address: `Realm` gives each zone the next second byte.
+fn zone(host: Ipv4Addr) -> usize {
+    usize::from((host.octets()[1] + 9) % 10)
+}
+
+/// None where the script has no prices. The first and the last window are left out: learning, and cut off.
+pub fn of(script: &Script, entries: &[Entry]) -> Option<Cost> {
+    let prices = script.costs.as_ref()?;
+    let mut asked: BTreeMap<u64, Ipv4Addr> = BTreeMap::new();
+    let mut windows: BTreeMap<u64, Window> = BTreeMap::new();
+    // By server: since when it runs, and whether it started cold; and what it could do in each window.
+    let mut running: BTreeMap<Ipv4Addr, (f64, bool)> = BTreeMap::new();
+    let mut could: BTreeMap<u64, BTreeMap<usize, f64>> = BTreeMap::new();
+    let mut next = 0;
+    for Entry { at, event } in entries {
+        while *at >= (next as f64 + 0.5) * WINDOW {
+            let middle = (next as f64 + 0.5) * WINDOW;
+            for (server, (since, cold)) in &running {
+                let share = script.cold_share;
+                let warmed = ((middle - since) / script.warm_within).clamp(0.0, 1.0);
+                let part = if *cold { share + (1.0 - share) * warmed } else { 1.0 };
+                *could.entry(next).or_default().entry(zone(*server)).or_default() +=
+                    part * script.cores as f64;
+            }
+            next += 1;
+        }
+        let window = windows.entry((at / WINDOW) as u64).or_default();
+        match event {
+            Event::Started { server, cold, .. } => drop(running.insert(*server, (*at, *cold))),
+            Event::Stopped { server } | Event::Fell { server } => drop(running.remove(server)),
+            Event::Arrival { asker, server, query, work, .. } => {
+                asked.insert(*query, *asker);
+                *window.work.entry(zone(*server)).or_default() += work;
+            }
+            Event::Ran { server, query, .. } => {
+                let from = asked.get(query).map_or(zone(*server), |asker| zone(*asker));
+                *window.ran.entry((from, zone(*server))).or_default() += 1.0;
+            }
+            _ => {}
+        }
+    }
+    let last = windows.keys().next_back().copied().unwrap_or(0);
+    let way = |from: usize, to: usize| if from == to { 0.0 } else { prices.crossing };
+    let parts: f64 = script.classes.iter().map(|class| class.part).sum();
+    let work = script.classes.iter().map(|class| class.part * class.work).sum::<f64>() / parts;
+    let mut cost = Cost::default();
+    for (place, window) in windows.into_iter().filter(|(place, _)| *place > 0 && *place < last) {
+        let could = could.remove(&place).unwrap_or_default();
+        let zones = prices.zones.len();
+        let demand = |from| window.ran.iter().filter(|((f, _), _)| *f == from).map(|(_, n)| n / WINDOW).sum();
+        let model = Model {
+            zones: vec![String::new(); zones],
+            classes: vec![Class { name: String::new(), work, benefit: 1.0, reach: None }],
+            pools: (0..zones)
+                .map(|zone| Pool {
+                    zone,
+                    price: prices.zones[zone] / work,
+                    capacity: could.get(&zone).copied().unwrap_or(0.0),
+                    refuses: Vec::new(),
+                })
+                .collect(),
+            links: (0..zones)
+                .map(|from| (0..zones).map(|to| Link { price: way(from, to), ..Link::default() }).collect())
+                .collect(),
+            demand: (0..zones).map(|from| vec![demand(from)]).collect(),
+            headroom: prices.headroom,
+        };
+        // Where it did not fit with the headroom, what was paid is the best that is known.
+        let paid: f64 =
+            window.ran.iter().map(|((from, to), count)| count * (prices.zones[*to] + way(*from, *to))).sum();
+        let best = plan(&model, None).ok().filter(|plan| plan.faults.is_empty());
+        cost.paid += paid;
+        cost.best += best.map_or(paid, |plan| plan.cost * WINDOW);
+        for (zone, work) in window.work {
+            let most = could.get(&zone).copied().unwrap_or(0.0) * WINDOW;
+            cost.fullest = cost.fullest.max(work / most.max(f64::MIN_POSITIVE));
+        }
+    }
+    Some(cost)
+}
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -2,7 +2,7 @@
 
 use crate::askers::Asker;
 use crate::record::{Entry, Event};
-use crate::script::{Fault, Front, Kind, Realm, Script, SERVICE_PORT};
+use crate::script::{Fault, Front, Instead, Kind, Realm, Script, SERVICE_PORT};
 use crate::servers::Server;
 use crate::world::World;
 use async_executor::LocalExecutor;
@@ -22,8 +22,7 @@
     pub program: PathBuf,
     /// Where settings and the kept list go.
     pub folder: PathBuf,
-    /// All listed servers evenly, instead of the pilot's answers.
-    pub even: bool,
+    pub instead: Option<Instead>,
     /// A line a second on standard output.
     pub progress: bool,
 }
@@ -127,7 +126,7 @@
     let pilot = Pilot { program: options.program.clone(), settings, log, child: None };
 
     let executor = Rc::new(LocalExecutor::new());
-    let world = World::new(script, options.realm, options.even, executor.clone());
+    let world = World::new(script, options.realm, options.instead, executor.clone());
     async_io::block_on(executor.run(run(world, pilot, options.progress)))
 }
 
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! `oatlever-standins`: a small world on loopback round a real pilot.
 
 mod askers;
+mod cost;
 mod day;
 mod judge;
 mod many;
@@ -12,10 +13,9 @@
 mod world;
 
 use clap::{Parser, Subcommand};
-use judge::Verdict;
 use many::Tally;
 use record::Entry;
-use script::{Realm, Script};
+use script::{Costs, Instead, Realm, Script};
 use std::io::{BufRead, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -49,9 +49,12 @@
         /// The mode of the pilot's guard, `report` or `enforce`, whatever the script says.
         #[arg(long)]
         guard: Option<String>,
-        /// Askers take all listed servers evenly instead of the pilot's answers.
+        /// What askers go by instead of the pilot's answers.
+        #[arg(long, value_enum)]
+        instead: Option<Instead>,
+        /// Keep the script's prices from the pilot.
         #[arg(long)]
-        even: bool,
+        no_prices: bool,
         #[command(flatten)]
         place: Place,
     },
@@ -93,7 +96,7 @@
 
 const DEMO: &str = include_str!("../scripts/demo.json");
 
-fn play(script: Script, place: &Place, even: bool) -> Result<Vec<Entry>, String> {
+fn play(script: Script, place: &Place, instead: Option<Instead>) -> Result<Vec<Entry>, String> {
     let beside = || std::env::current_exe().map(|own| own.with_file_name("oatlever"));
     let program = place.pilot.clone().map_or_else(beside, Ok).map_err(|e| e.to_string())?;
     if !program.exists() {
@@ -106,17 +109,23 @@
     let realm = Realm { number: place.realm, dns: place.dns, status: place.status };
     println!("dns {}  status http://{}/status  settings {}", realm.dns(), realm.status(), folder.display());
     let played =
-        day::play(script, &day::Options { realm, program, folder: folder.clone(), even, progress: true });
+        day::play(script, &day::Options { realm, program, folder: folder.clone(), instead, progress: true });
     if played.is_ok() {
         let _ = std::fs::remove_dir_all(&folder);
     }
     played
 }
 
-fn report(verdict: &Verdict) -> bool {
+fn report(script: &Script, entries: &[Entry]) -> bool {
+    let verdict = judge::judge(script, entries);
     println!("service {:.3}   worst second {:.3}", verdict.service(), verdict.worst_second);
     println!("cold servers: at most {:.2} of their limit, {} fell over", verdict.coldest, verdict.fell);
     println!("channel: at most {} lines waited", verdict.most_waiting);
+    if let Some(cost) = cost::of(script, entries) {
+        let over = 100.0 * (cost.paid / cost.best.max(f64::MIN_POSITIVE) - 1.0);
+        println!("cost {:.1}   best after the fact {:.1}   over it {over:.2}%", cost.paid, cost.best);
+        println!("fullest zone: {:.2} of what it can do", cost.fullest);
+    }
     for (rule, what) in &verdict.broken {
         println!("rule {rule} broken: {what}");
     }
@@ -197,18 +206,19 @@
         Command::Demo { seconds, place } => {
             let mut script = Script::read(DEMO)?;
             script.seconds = seconds;
-            let entries = play(script.clone(), &place, false)?;
-            Ok(report(&judge::judge(&script, &entries)))
+            let entries = play(script.clone(), &place, None)?;
+            Ok(report(&script, &entries))
         }
-        Command::Day { script, record, relays_by, guard, even, place } => {
+        Command::Day { script, record, relays_by, guard, instead, no_prices, place } => {
             let mut script = read(&script)?;
             script.relays_by = relays_by.unwrap_or(script.relays_by);
             script.guard = guard.or(script.guard);
-            let entries = play(script.clone(), &place, even)?;
+            script.costs = script.costs.map(|costs| Costs { told: costs.told && !no_prices, ..costs });
+            let entries = play(script.clone(), &place, instead)?;
             if let Some(path) = record {
                 written(&path, &script, &entries).map_err(|e| format!("{}: {e}", path.display()))?;
             }
-            Ok(report(&judge::judge(&script, &entries)))
+            Ok(report(&script, &entries))
         }
         Command::Days { script, count, first_seed, guard, at_once, place } => {
             let mut script = read(&script)?;
@@ -235,7 +245,7 @@
         }
         Command::Judge { record } => {
             let (script, entries) = recorded(&record)?;
-            Ok(report(&judge::judge(&script, &entries)))
+            Ok(report(&script, &entries))
         }
     }
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::askers::Asker;
 use crate::record::{Event, Recorder, State};
-use crate::script::{Realm, Script};
+use crate::script::{Instead, Realm, Script};
 use crate::servers::Server;
 use crate::web;
 use async_executor::LocalExecutor;
@@ -38,8 +38,8 @@
     pub faults: RefCell<Faults>,
     pub servers: RefCell<Vec<Rc<Server>>>,
     pub askers: RefCell<Vec<Rc<Asker>>>,
-    /// All listed servers evenly, instead of the pilot's answers.
-    pub even: bool,
+    /// What askers go by instead of the pilot's answers.
+    pub instead: Option<Instead>,
     pub queries: Cell<u64>,
     chance: RefCell<fastrand::Rng>,
     /// What was true at each moment; the roster tells it late.
@@ -47,7 +47,12 @@
 }
 
 impl World {
-    pub fn new(script: Script, realm: Realm, even: bool, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+    pub fn new(
+        script: Script,
+        realm: Realm,
+        instead: Option<Instead>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
         Rc::new(World {
             chance: RefCell::new(fastrand::Rng::with_seed(script.seed)),
             script,
@@ -57,7 +62,7 @@
             faults: RefCell::default(),
             servers: RefCell::default(),
             askers: RefCell::default(),
-            even,
+            instead,
             queries: Cell::new(0),
             truth: RefCell::default(),
         })
@@ -91,6 +96,17 @@
         kept.collect()
     }
 
+    /// What a rule of thumb makes of the list; none where askers go by the pilot.
+    pub fn by_rule(&self) -> Option<Vec<(Ipv4Addr, u16)>> {
+        let instead = self.instead?;
+        let price = |zone: u8| self.script.costs.as_ref().map_or(0.0, |costs| costs.zones[usize::from(zone)]);
+        let listed = self.listed();
+        let least = listed.iter().map(|(_, zone, ..)| price(*zone)).fold(f64::INFINITY, f64::min);
+        let taken =
+            listed.into_iter().filter(|(_, zone, ..)| instead == Instead::Even || price(*zone) <= least);
+        Some(taken.map(|(host, ..)| (host, 1)).collect())
+    }
+
     /// The roster: Prometheus HTTP service discovery.
     pub async fn roster(self: Rc<Self>) {
         let host = self.realm.roster();
--- a/standins/tests/days.rs
+++ b/standins/tests/days.rs
@@ -114,6 +114,37 @@
     assert!(!kept && service(&report) < 0.9, "{report}");
 }
 
+/// How far the day's cost was over the best after the fact, in parts.
+fn over_best(report: &str) -> f64 {
+    let line = report.lines().find(|line| line.starts_with("cost ")).unwrap();
+    line.split_whitespace().last().unwrap().trim_end_matches('%').parse::<f64>().unwrap() / 100.0
+}
+
+/// Zones with prices: queries go where they cost the least, as far as servers carry them, over both fronts;
+/// without prices they stay at home and cost far more.
+#[test]
+fn prices_are_followed_as_far_as_servers_go() {
+    let costs = |told| {
+        json!({"servers": 5, "relays": 3, "relays_by": "all", "relay_rate": 80,
+               "costs": {"zones": [1, 2, 3], "crossing": 0.2, "headroom": 0.25, "told": told, "carries": 14}})
+    };
+    let report = day(20, 26.0, json!([]), costs(true));
+    assert!(service(&report) > 0.9 && over_best(&report) < 0.08, "{report}");
+    let report = day(21, 16.0, json!([]), costs(false));
+    assert!(over_best(&report) > 0.2, "{report}");
+}
+
+/// Every cheap server is gone at once, and comes back cold while half of the next zone restarts.
+#[test]
+fn all_cheap_servers_go_at_once() {
+    let faults = json!([{"at": 6, "for": 5, "kind": "crash", "zone": 0},
+                        {"at": 9, "for": 1, "kind": "restart", "zone": 1, "part": 0.5}]);
+    let costs = json!({"warm_within": 6, "relays": 3, "relays_by": "all",
+                       "costs": {"zones": [1, 2, 3], "crossing": 0.2, "headroom": 0.25, "told": true}});
+    let report = day(22, 22.0, faults, costs);
+    assert!(service(&report) > 0.5, "{report}");
+}
+
 /// The same hand, where everybody asks by DNS.
 #[test]
 fn the_guard_refuses_what_a_hand_lays_over_dns() {
