Tell what is wrong inside optional settings; test plans of the program; surges in scripts

A mistake in /guard, /costs or /xds was told as 'not valid under any of the schemas': the part's own mistakes are told now. oatlever plan and a pilot's pages are tested end to end.

--- a/pilot/tests/program.rs
+++ b/pilot/tests/program.rs
@@ -445,3 +445,44 @@
     let nonsense = folder.write("hand.json", "[1]");
     assert!(run(&["tables", "lay", "0", nonsense.to_str().unwrap()]).is_err());
 }
+
+/// A pilot with prices says on its pages that nothing is known yet; a model is planned offline, as it is and
+/// otherwise, and what is wrong is told by name.
+#[test]
+fn plans_are_told_and_made_offline() {
+    let folder = Folder::new("plan");
+    folder.list(0..6);
+    let mut settings = folder.settings();
+    settings["costs"] = json!({"prices": {"north": 2}});
+    let pilot = Pilot::start(&folder.write("settings.json", &settings.to_string()));
+    pilot.until("six servers", |answer| lines(answer) == 6);
+    let status: Value = serde_json::from_str(&pilot.page("/status")).unwrap();
+    assert_eq!(status["plan"]["outcome"], "unknown");
+    assert!(pilot.page("/metrics").contains("oatlever_plans_total{outcome=\"unknown\"}"));
+
+    let pool = |zone: u8, price: f64| json!({"zone": zone, "price": price, "capacity": 10});
+    let model = json!({"zones": ["north", "south"], "classes": [{"name": "search", "work": 0.5, "benefit": 1}],
+                       "pools": [pool(0, 1.0), pool(1, 3.0)], "demand": [[10], [16]]});
+    let path = folder.write("model.json", &model.to_string());
+    let planned = |what: &[&str]| {
+        let done = program(&[&["plan", path.to_str().unwrap()], what].concat());
+        let told = String::from_utf8(done.stdout).unwrap() + &String::from_utf8(done.stderr).unwrap();
+        (done.status.code(), told)
+    };
+    let (code, told) = planned(&["--json"]);
+    let told: Value = serde_json::from_str(&told).unwrap();
+    // 13 units of work: 10 at 1, 3 at 3.
+    assert!(code == Some(0) && (told["plan"]["cost"].as_f64().unwrap() - 19.0).abs() < 0.01, "{told:#}");
+    let (code, told) = planned(&["--lost", "north"]);
+    assert!(code == Some(1) && told.contains("does not fit by 3.00"), "{told}");
+    let (code, told) = planned(&["--price", "north=5", "--demand", "0.5"]);
+    assert!(
+        code == Some(0) && told.contains("cost 19.5") && told.contains("without south: everything fits"),
+        "{told}"
+    );
+    for wrong in [&["--lost", "west"], &["--price", "north"], &["--price", "north=x"]] {
+        assert!(matches!(planned(wrong), (Some(2), told) if told.contains(wrong[1])), "{wrong:?}");
+    }
+    folder.write("model.json", &model.to_string().replace("0.5", "-0.5"));
+    assert!(matches!(planned(&[]), (Some(2), told) if told.contains("/classes/0/work: -0.5")));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub use shape::*;
 
+use jsonschema::error::{ValidationError, ValidationErrorKind};
 use oatlever::round;
 use oatlever_cost::Link;
 use std::fmt;
@@ -44,6 +45,26 @@
     }
 }
 
+/// Tells an error in the settings. A part that may be left out is none or as its schema says; where it is there,
+/// what is wrong with it is told, not that it is neither.
+fn tell(error: &ValidationError, mistakes: &mut Vec<Mistake>) {
+    if let (ValidationErrorKind::AnyOf { context }, false) = (error.kind(), error.instance().is_null()) {
+        let other = |inner: &ValidationError| {
+            let here = inner.instance_path() == error.instance_path();
+            here && matches!(inner.kind(), ValidationErrorKind::Type { .. })
+        };
+        let told = context.iter().find(|branch| !branch.is_empty() && !branch.iter().any(other));
+        if let Some(branch) = told {
+            return branch.iter().for_each(|inner| tell(inner, mistakes));
+        }
+    }
+    mistakes.push(Mistake {
+        at: error.instance_path().to_string(),
+        found: quote(error.instance()),
+        expected: error.masked().to_string(),
+    });
+}
+
 /// Reads settings. Errors: every mistake found, in order of place.
 pub fn read(text: &str) -> Result<Settings, Vec<Mistake>> {
     let whole = |found: String, expected: &str| {
@@ -53,14 +74,8 @@
         serde_json::from_str(text).map_err(|e| whole(e.to_string(), "a JSON text"))?;
     let validator = jsonschema::validator_for(&schema())
         .map_err(|e| whole(e.to_string(), "a schema that can be used"))?;
-    let mut mistakes: Vec<Mistake> = validator
-        .iter_errors(&value)
-        .map(|error| Mistake {
-            at: error.instance_path().to_string(),
-            found: quote(error.instance()),
-            expected: error.masked().to_string(),
-        })
-        .collect();
+    let mut mistakes = Vec::new();
+    validator.iter_errors(&value).for_each(|error| tell(&error, &mut mistakes));
     if mistakes.is_empty() {
         let settings: Settings =
             serde_json::from_value(value).map_err(|e| whole(e.to_string(), "settings as the schema says"))?;
--- a/settings/tests/settings.rs
+++ b/settings/tests/settings.rs
@@ -49,6 +49,22 @@
 #[test]
 fn each_mistake_is_told_where_it_is() {
     let cases: &[(&str, Value, &str)] = &[
+        ("/costs", json!({"prices": {"north": 1}}), "a price for every zone"),
+        ("/costs", json!({"prices": {"north": 1, "south": -2}}), "a price of 0 or more"),
+        ("/costs", json!({"prices": {"north": 1, "south": 2, "west": 3}}), "one of /zones"),
+        ("/costs", json!({"prices": {"north": 1, "south": 2}, "links": [{"between": ["north"]}]}), "2"),
+        (
+            "/costs",
+            json!({"prices": {"north": 1, "south": 2}, "links": [{"between": ["north", "north"]}]}),
+            "two zones",
+        ),
+        (
+            "/costs",
+            json!({"prices": {"north": 1, "south": 2},
+                   "links": [{"between": ["north", "south"]}, {"between": ["south", "north"]}]}),
+            "link 0 does not have",
+        ),
+        ("/costs", json!({"prices": {"north": 1, "south": 2}, "figures": {"headroom": 1.5}}), "0.9"),
         ("/rules/cold_share", json!(0), "0.001"),
         ("/rules/cold_share", json!("low"), "number"),
         ("/rules/warm_withn", json!(3), "warm_withn"),
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -238,7 +238,8 @@
     let all: f64 = script.classes.iter().map(|class| class.part).sum();
     let mut at = world.now();
     loop {
-        at += -(1.0 - world.chance()).ln() / rate;
+        let surge = world.faults.borrow().surge;
+        at += -(1.0 - world.chance()).ln() / (rate * if surge > 0.0 { surge } else { 1.0 });
         Timer::after(Duration::from_secs_f64((at - world.now()).max(0.0))).await;
         let mut target = world.chance() * all;
         let class = script.classes.iter().position(|class| {
@@ -311,6 +312,7 @@
             }
             Kind::DnsLost => faults.dns_lost = if on { fault.part } else { 0.0 },
             Kind::DnsLate(late) => faults.dns_late = if on { late } else { 0.0 },
+            Kind::Surge(times) => faults.surge = if on { times } else { 0.0 },
             Kind::ScrapesHang => faults.scrapes_hang = on,
             Kind::ReportsReset => {
                 faults.scrapes_hang = on;
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -150,6 +150,8 @@
     ScrapesHang,
     /// Counters start anew at the end, and can't be read before.
     ReportsReset,
+    /// So many times the queries come.
+    Surge(f64),
     /// Somebody lays every table by hand: one server gets everything.
     HandLays,
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -25,6 +25,8 @@
     pub list_empty: bool,
     /// Servers that the list calls gone.
     pub unlisted: Vec<Ipv4Addr>,
+    /// Times the usual queries that come; 0 as long as nothing is said.
+    pub surge: f64,
 }
 
 /// A server as the roster names it: address, zone, state, Unix time of its start; and its starts so far.
