--- a/benches/src/plans.rs
+++ b/benches/src/plans.rs
@@ -3,6 +3,9 @@
 use oatlever_cost::{plan, Class, Link, Model, Pool, Steady};
 use std::time::Instant;
 
+/// s
+const PATIENCE: f64 = 60.0;
+
 const PLANS: usize = 20;
 
 /// Zones with some prices each, twice the room that is asked for.
@@ -39,7 +42,7 @@
             let mut model = model(&mut chance, zones, prices, classes);
             let timed = |model: &Model, steady: Option<Steady>, times: &mut Vec<f64>| {
                 let begun = Instant::now();
-                let found = plan(model, steady).expect("a plan");
+                let found = plan(model, steady, PATIENCE).expect("a plan");
                 times.push(begun.elapsed().as_secs_f64() * 1e3);
                 found
             };
--- a/cost/src/plan.rs
+++ b/cost/src/plan.rs
@@ -69,10 +69,11 @@
     pools: Vec<f64>,
     whole: f64,
     dearest: f64,
+    patience: f64,
 }
 
 impl<'a> Network<'a> {
-    fn of(model: &'a Model, before: Option<Steady>) -> Self {
+    fn of(model: &'a Model, before: Option<Steady>, patience: f64) -> Self {
         let sources = model.sources();
         let mut held: BTreeMap<(Source, usize), f64> = BTreeMap::new();
         for flow in before.iter().flat_map(|before| before.flows) {
@@ -97,7 +98,7 @@
         }
         let pools = (0..model.pools.len()).map(|pool| model.usable(pool)).collect();
         let whole: f64 = sources.iter().map(|(_, work)| work).sum();
-        Network { model, sources, ways, pools, whole, dearest: dearest + more }
+        Network { model, sources, ways, pools, whole, dearest: dearest + more, patience }
     }
 
     fn solve(
@@ -112,7 +113,8 @@
         };
         let sources = self.sources.iter().enumerate().map(|(n, (_, work))| (*work, refusing(n)));
         let sources: Vec<(f64, f64)> = sources.collect();
-        Program { ways: &ways, sources: &sources, pools: &self.pools, refused_most: most }.solve()
+        let (pools, patience) = (&self.pools, self.patience);
+        Program { ways: &ways, sources: &sources, pools, refused_most: most, patience }.solve()
     }
 
     /// The least that any plan can cost which refuses no more than `worth` of benefit, where each source's unit
@@ -193,11 +195,11 @@
 }
 
 /// The cheapest plan that asks no pool for more than it may carry; where not all fits, the cheapest of those that
-/// refuse the least benefit. Moves count at their price, where there was a plan before. Errors: what is wrong
-/// with the model, or the solver's word.
-pub fn plan(model: &Model, before: Option<Steady>) -> Result<Plan, String> {
+/// refuse the least benefit. Moves count at their price, where there was a plan before. Each of up to three solves
+/// may take `patience` s. Errors: what is wrong with the model, or the solver's word.
+pub fn plan(model: &Model, before: Option<Steady>, patience: f64) -> Result<Plan, String> {
     model.check()?;
-    let network = Network::of(model, before);
+    let network = Network::of(model, before, patience);
     if network.sources.is_empty() {
         let pool_prices = vec![0.0; model.pools.len()];
         let (flows, refused, faults) = Default::default();
--- a/cost/src/planner.rs
+++ b/cost/src/planner.rs
@@ -81,6 +81,8 @@
 const WAY: f64 = 0.5;
 /// s; demand fades over this, as in the decisions: a report of a second is a handful of queries.
 const DEMAND_SPAN: f64 = 4.0;
+/// s; the round waits for the plan, and goes on without one. It is a fraction of a millisecond for ten zones.
+const PATIENCE: f64 = 0.1;
 /// Queries a second; a zone without any is planned for as if it had so many, so that its first find a way.
 const IDLE: f64 = 1e-3;
 
@@ -149,9 +151,11 @@
         self.carry.hear(&met, now);
     }
 
-    /// Prices changed under way.
-    pub fn reprice(&mut self, prices: Vec<f64>) {
-        self.prices = prices;
+    /// A zone's price changed under way.
+    pub fn reprice(&mut self, zone: usize, price: f64) {
+        if let Some(held) = self.prices.get_mut(zone) {
+            *held = price;
+        }
     }
 
     /// Forgets an asker that is away.
@@ -207,7 +211,7 @@
         let held = self.parts.as_ref().map(|parts| self.flows(&model, parts));
         let price = self.figures.move_price / self.figures.pays_within;
         let steady = held.as_ref().map(|flows| Steady { flows, price });
-        let plan = plan(&model, steady).map_err(Without::Unsolved)?;
+        let plan = plan(&model, steady, PATIENCE).map_err(Without::Unsolved)?;
         if !plan.faults.is_empty() {
             return Err(Without::Over(Box::new(plan)));
         }
--- a/cost/src/program.rs
+++ b/cost/src/program.rs
@@ -27,6 +27,8 @@
     pub pools: &'a [f64],
     /// A bound on what is refused, each unit counted as given; the answer's price of it comes last.
     pub refused_most: Option<(&'a [f64], f64)>,
+    /// s that the solver may take.
+    pub patience: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -39,9 +41,6 @@
     pub refused_price: f64,
 }
 
-/// Seconds that a solve may take.
-const PATIENCE: f64 = 5.0;
-
 impl Program<'_> {
     /// Errors: the solver did not come to an end, with its word.
     pub fn solve(&self) -> Result<Answer, String> {
@@ -90,7 +89,7 @@
         let cones = [ZeroConeT(sources), NonnegativeConeT(right.len() - sources)];
         let settings = DefaultSettingsBuilder::default()
             .verbose(false)
-            .time_limit(PATIENCE)
+            .time_limit(self.patience)
             .build()
             .map_err(|e| format!("{e:?}"))?;
         let none = CscMatrix::zeros((columns, columns));
--- a/cost/tests/planner.rs
+++ b/cost/tests/planner.rs
@@ -117,7 +117,7 @@
     }
     // 0.5 is what a move costs a second: 0.4 less does not pay, 0.6 does.
     for (price, moves) in [(1.6, false), (1.4, true)] {
-        fleet.planner.reprice(vec![2.0, price]);
+        fleet.planner.reprice(1, price);
         fleet.hear(&demand, &demand, 0.1);
         let parts = fleet.plan().unwrap();
         let change: Vec<f64> = (0..2).map(|zone| parts[zone][1] - first[zone][1]).collect();
--- a/cost/tests/plans.rs
+++ b/cost/tests/plans.rs
@@ -3,6 +3,9 @@
 use oatlever_cost::{plan, Class, Link, Model, Plan, Pool, Steady};
 use std::collections::BTreeMap;
 
+/// s
+const PATIENCE: f64 = 60.0;
+
 fn class(name: &str, work: f64, benefit: f64) -> Class {
     Class { name: name.into(), work, benefit, reach: None }
 }
@@ -91,7 +94,7 @@
     let (mut fitting, mut over) = (0, 0);
     for case in 0..1600 {
         let model = drawn(&mut chance, [1, 2, 3, 4, 5, 3, 4, 8][case % 8]);
-        let found = plan(&model, None).unwrap_or_else(|e| panic!("{e}: {model:?}"));
+        let found = plan(&model, None, PATIENCE).unwrap_or_else(|e| panic!("{e}: {model:?}"));
         kept(&model, &found);
         let (least_lost, least_cost) = brute_force(&model);
         let close = |a: f64, b: f64| (a - b).abs() <= 1e-4 * (1.0 + b.abs());
@@ -150,7 +153,7 @@
     let mut chance = fastrand::Rng::with_seed(6);
     for (zones, each, classes) in [(3, 2, 3), (5, 4, 5), (10, 3, 20)] {
         let model = fleet(&mut chance, zones, each, classes);
-        let found = plan(&model, None).unwrap();
+        let found = plan(&model, None, PATIENCE).unwrap();
         kept(&model, &found);
         assert!(found.faults.is_empty() && found.gap() < 1e-4, "{}", found.gap());
         let pools = 0..model.pools.len();
@@ -165,7 +168,7 @@
         let pool = pools.max_by(|a, b| found.pool_prices[*a].total_cmp(&found.pool_prices[*b])).unwrap();
         let mut more = model.clone();
         more.pools[pool].capacity *= 1.001;
-        let saved = found.cost - plan(&more, None).unwrap().cost;
+        let saved = found.cost - plan(&more, None, PATIENCE).unwrap().cost;
         let told = found.pool_prices[pool] * (more.usable(pool) - model.usable(pool));
         assert!((saved - told).abs() <= 0.05 * told + 1e-6 * found.cost, "{saved} {told}");
     }
@@ -182,7 +185,7 @@
         headroom: 0.0,
     };
     for price in [0.0, 1e-6, 1.0, 1e9] {
-        let found = plan(&one(price, 25.0, vec![]), None).unwrap();
+        let found = plan(&one(price, 25.0, vec![]), None, PATIENCE).unwrap();
         kept(&one(price, 25.0, vec![]), &found);
         assert!(
             (found.cost - 20.0 * price).abs() <= 1e-4 * found.cost && found.faults.is_empty(),
@@ -190,21 +193,21 @@
         );
     }
     // A class that no server takes, and one that is worth less for its work where both don't fit.
-    let found = plan(&one(1.0, 25.0, vec![1]), None).unwrap();
+    let found = plan(&one(1.0, 25.0, vec![1]), None, PATIENCE).unwrap();
     assert_eq!((found.faults.len(), found.faults[0].pools.len()), (1, 0));
     assert_eq!(found.refused, [(oatlever_cost::Source { zone: 0, class: 1 }, 5.0)]);
-    let tight = plan(&one(1.0, 12.0, vec![]), None).unwrap();
+    let tight = plan(&one(1.0, 12.0, vec![]), None, PATIENCE).unwrap();
     assert_eq!(tight.refused.len(), 1);
     assert!((tight.refused[0].1 - 8.0).abs() < 1e-3 && tight.refused[0].0.class == 0, "{tight:?}");
     assert!((tight.faults[0].missing - 8.0).abs() < 1e-3 && tight.faults[0].sources.len() == 2, "{tight:?}");
     // No server at all, nobody who asks, and amounts that are none.
-    let none = plan(&one(1.0, 0.0, vec![]), None).unwrap();
+    let none = plan(&one(1.0, 0.0, vec![]), None, PATIENCE).unwrap();
     assert!(none.flows.is_empty() && none.refused.len() == 2, "{none:?}");
     let mut idle = one(1.0, 5.0, vec![]);
     idle.demand = vec![vec![0.0, 0.0]];
-    assert_eq!(plan(&idle, None).unwrap().cost, 0.0);
+    assert_eq!(plan(&idle, None, PATIENCE).unwrap().cost, 0.0);
     idle.demand = vec![vec![f64::NAN, 0.0]];
-    assert_eq!(plan(&idle, None), Err("/demand/0/0: NaN is no amount of 0 or more".to_string()));
+    assert_eq!(plan(&idle, None, PATIENCE), Err("/demand/0/0: NaN is no amount of 0 or more".to_string()));
 }
 
 /// Among ways that cost the same nothing swings; what was in place stays unless leaving it pays.
@@ -212,24 +215,24 @@
 fn a_plan_before_is_left_only_for_what_pays() {
     let mut chance = fastrand::Rng::with_seed(8);
     let mut model = fleet(&mut chance, 3, 2, 2);
-    let first = plan(&model, None).unwrap();
-    let again = plan(&model, Some(Steady { flows: &first.flows, price: 0.01 })).unwrap();
+    let first = plan(&model, None, PATIENCE).unwrap();
+    let again = plan(&model, Some(Steady { flows: &first.flows, price: 0.01 }), PATIENCE).unwrap();
     let whole: f64 = first.flows.iter().map(|flow| flow.work).sum();
     assert!(again.moved < 1e-4 * whole, "{} of {whole}", again.moved);
     for (dearer, moves) in [(0.05, false), (4.0, true)] {
         let used = (0..6).max_by(|a, b| first.load(*a).total_cmp(&first.load(*b))).unwrap();
         let mut changed = model.clone();
         changed.pools[used].price += dearer;
-        let next = plan(&changed, Some(Steady { flows: &first.flows, price: 0.5 })).unwrap();
+        let next = plan(&changed, Some(Steady { flows: &first.flows, price: 0.5 }), PATIENCE).unwrap();
         assert_eq!(next.moved > 0.01 * whole, moves, "{dearer}: {}", next.moved);
         assert!(next.cost + 0.5 * next.moved <= plan_cost(&changed, &first) + 1e-4 * next.cost);
     }
     // All prices the same: the same plan, whatever the order of pools.
     model.pools.iter_mut().for_each(|pool| pool.price = 1.0);
     model.links.clear();
-    let one = plan(&model, None).unwrap();
+    let one = plan(&model, None, PATIENCE).unwrap();
     model.pools.reverse();
-    let other = plan(&model, None).unwrap();
+    let other = plan(&model, None, PATIENCE).unwrap();
     for pool in 0..6 {
         assert!((one.load(pool) - other.load(5 - pool)).abs() < 1e-2 * whole, "{pool}");
     }
--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -117,6 +117,25 @@
     }
 }
 
+/// The request that gives a zone's servers another price.
+pub fn price(text: &str) -> Result<Message, String> {
+    let told = || format!("{text:?}: expected ZONE=PRICE");
+    let (zone, price) = text.split_once('=').ok_or_else(told)?;
+    let price: f64 = price.parse().map_err(|_| told())?;
+    Ok(("POST", format!("/prices/{zone}/{price}"), String::new()))
+}
+
+fn reprice(pilot: &Pilot, zone: &str, price: &str) -> Result<Value, String> {
+    let mut core = pilot.core.borrow_mut();
+    let price = price.parse::<f64>().ok().filter(|price| price.is_finite() && *price >= 0.0);
+    let price = price.ok_or("a price is a number of 0 or more")?;
+    let place = core.settings.zone(zone).ok_or_else(|| format!("{zone:?} is no zone of the settings"))?;
+    let planning = core.planning.as_mut().ok_or("the settings have no /costs")?;
+    planning.planner.reprice(usize::from(place), price);
+    tracing::warn!(zone, price, "a price was changed by hand");
+    Ok(json!({"zone": zone, "price": price}))
+}
+
 fn say(pilot: &Pilot, word: &Word) -> Result<Value, String> {
     let mut core = pilot.core.borrow_mut();
     let now = core.now();
@@ -201,11 +220,18 @@
     let path = request.uri.path().trim_start_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
     let method = &request.method;
+    if let (&Method::POST, ["prices", zone, price]) = (method, &parts[..]) {
+        return told(reprice(pilot, zone, price));
+    }
     let answer = match (command(method, &parts), Word::read(method, &parts)) {
         (Some(command), _) => act(pilot, &command, body),
         (_, Some(word)) => say(pilot, &word),
         (None, None) => Err("no such command".to_string()),
     };
+    told(answer)
+}
+
+fn told(answer: Result<Value, String>) -> Page {
     match answer {
         Ok(value) => pages::answer(StatusCode::OK, "application/json", value.to_string()),
         Err(what) => pages::answer(StatusCode::BAD_REQUEST, "text/plain", what),
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -53,6 +53,14 @@
         #[command(subcommand)]
         what: control::Command,
     },
+    /// Give a zone's servers another price on a running pilot, until it restarts.
+    Price {
+        /// The pilot's `/control/socket`.
+        #[arg(long)]
+        socket: PathBuf,
+        /// ZONE=PRICE
+        price: String,
+    },
     /// Plan the cheapest flows offline: what goes where, what it costs, what one more server would save.
     Plan {
         /// A model as JSON: `plan.model` on a pilot's `/status`, or by hand; `--schema` prints what it keeps.
@@ -115,6 +123,9 @@
         Command::Tables { socket, what } => {
             what.request().and_then(|request| control::tell(&socket, request)).map_err(failed)
         }
+        Command::Price { socket, price } => {
+            control::price(&price).and_then(|request| control::tell(&socket, request)).map_err(failed)
+        }
         Command::Plan { model, schema, what } => match plan::run(model.as_deref(), schema, &what) {
             Ok(true) => Ok(()),
             Ok(false) => Err(ExitCode::FAILURE),
--- a/pilot/src/plan.rs
+++ b/pilot/src/plan.rs
@@ -5,6 +5,9 @@
 use std::fmt::Write;
 use std::path::Path;
 
+/// s
+const PATIENCE: f64 = 60.0;
+
 /// What is to be otherwise than the model says, and how the answer is written.
 #[derive(clap::Args)]
 pub struct What {
@@ -55,9 +58,9 @@
     let text = std::fs::read_to_string(path).map_err(|e| at(&e))?;
     let mut model: Model = serde_json::from_str(&text).map_err(|e| at(&e))?;
     model.check().map_err(|e| at(&e))?;
-    let before = plan(&model, None).map_err(|e| at(&e))?;
+    let before = plan(&model, None, PATIENCE).map_err(|e| at(&e))?;
     what.apply(&mut model)?;
-    let after = plan(&model, None).map_err(|e| at(&e))?;
+    let after = plan(&model, None, PATIENCE).map_err(|e| at(&e))?;
     if what.json {
         println!("{:#}", json!({"plan": after, "gap": after.gap(), "cost_as_it_is": before.cost}));
     } else {
@@ -123,7 +126,8 @@
     let without = |(zone, name)| {
         let mut less = model.clone();
         less.pools.iter_mut().filter(|pool| pool.zone == zone).for_each(|pool| pool.capacity = 0.0);
-        let missing = plan(&less, None).map_or(f64::INFINITY, |p| p.faults.iter().map(|f| f.missing).sum());
+        let missing =
+            plan(&less, None, PATIENCE).map_or(f64::INFINITY, |p| p.faults.iter().map(|f| f.missing).sum());
         (name, missing)
     };
     model.zones.iter().enumerate().map(without).collect()
--- a/pilot/src/planning.rs
+++ b/pilot/src/planning.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 pub struct Planning {
-    planner: Planner,
+    pub planner: Planner,
     /// Plans by what came of them.
     pub outcomes: BTreeMap<&'static str, u64>,
     /// The last plan, and when it was made, s.
--- a/pilot/tests/program.rs
+++ b/pilot/tests/program.rs
@@ -453,12 +453,19 @@
     let folder = Folder::new("plan");
     folder.list(0..6);
     let mut settings = folder.settings();
+    let socket = folder.0.join("control");
+    settings["control"] = json!({"socket": socket.to_str().unwrap()});
     settings["costs"] = json!({"prices": {"north": 2}});
     let pilot = Pilot::start(&folder.write("settings.json", &settings.to_string()));
     pilot.until("six servers", |answer| lines(answer) == 6);
     let status: Value = serde_json::from_str(&pilot.page("/status")).unwrap();
     assert_eq!(status["plan"]["outcome"], "unknown");
     assert!(pilot.page("/metrics").contains("oatlever_plans_total{outcome=\"unknown\"}"));
+    let price = |text: &str| program(&["price", "--socket", socket.to_str().unwrap(), text]).status.code();
+    assert_eq!(
+        (price("north=3"), price("west=3"), price("north=-1"), price("north")),
+        (Some(0), Some(1), Some(1), Some(1))
+    );
 
     let pool = |zone: u8, price: f64| json!({"zone": zone, "price": price, "capacity": 10});
     let model = json!({"zones": ["north", "south"], "classes": [{"name": "search", "work": 0.5, "benefit": 1}],
--- a/standins/src/cost.rs
+++ b/standins/src/cost.rs
@@ -11,14 +11,40 @@
 use std::net::Ipv4Addr;
 
 /// s; queries of so long are planned for together.
+/// s
+const PATIENCE: f64 = 60.0;
+
 const WINDOW: f64 = 5.0;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct Cost {
     pub paid: f64,
     pub best: f64,
     /// The most work that came to a zone's servers in a window, over what they could do.
     pub fullest: f64,
+    pub rows: Vec<Row>,
+}
+
+/// A window.
+#[derive(Clone, Debug, Default)]
+pub struct Row {
+    /// s, its start.
+    pub at: f64,
+    pub paid: f64,
+    pub best: f64,
+    /// Queries a second from each zone (first) begun in each zone.
+    pub flows: Vec<Vec<f64>>,
+    /// Work that came to each zone's servers, over what they could do.
+    pub full: Vec<f64>,
+    /// Benefit answered in time, over what was asked for.
+    pub service: f64,
+}
+
+impl Cost {
+    /// Percent that was paid over the best.
+    pub fn over(&self) -> f64 {
+        100.0 * (self.paid / self.best.max(f64::MIN_POSITIVE) - 1.0)
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -27,6 +53,8 @@
     ran: BTreeMap<(usize, usize), f64>,
     /// Seconds of work that came, by zone.
     work: BTreeMap<usize, f64>,
+    answered: f64,
+    asked: f64,
 }
 
 /// The zone of an address: `Realm` gives each zone the next second byte.
@@ -63,6 +91,10 @@
                 asked.insert(*query, *asker);
                 *window.work.entry(zone(*server)).or_default() += work;
             }
+            Event::Ended { asked, answered, .. } => {
+                window.asked += asked;
+                window.answered += answered;
+            }
             Event::Ran { server, query, .. } => {
                 let from = asked.get(query).map_or(zone(*server), |asker| zone(*asker));
                 *window.ran.entry((from, zone(*server))).or_default() += 1.0;
@@ -99,13 +131,30 @@
         // Where it did not fit with the headroom, what was paid is the best that is known.
         let paid: f64 =
             window.ran.iter().map(|((from, to), count)| count * (prices.zones[*to] + way(*from, *to))).sum();
-        let best = plan(&model, None).ok().filter(|plan| plan.faults.is_empty());
-        cost.paid += paid;
-        cost.best += best.map_or(paid, |plan| plan.cost * WINDOW);
-        for (zone, work) in window.work {
+        let best = plan(&model, None, PATIENCE).ok().filter(|plan| plan.faults.is_empty());
+        let best = best.map_or(paid, |plan| plan.cost * WINDOW);
+        let full = (0..zones).map(|zone| {
             let most = could.get(&zone).copied().unwrap_or(0.0) * WINDOW;
-            cost.fullest = cost.fullest.max(work / most.max(f64::MIN_POSITIVE));
-        }
+            let work = window.work.get(&zone).copied().unwrap_or(0.0);
+            if most > 0.0 {
+                work / most
+            } else {
+                0.0
+            }
+        });
+        let full: Vec<f64> = full.collect();
+        let flow = |from, to| window.ran.get(&(from, to)).copied().unwrap_or(0.0) / WINDOW;
+        cost.paid += paid;
+        cost.best += best;
+        cost.fullest = full.iter().copied().fold(cost.fullest, f64::max);
+        cost.rows.push(Row {
+            at: place as f64 * WINDOW,
+            paid: paid / WINDOW,
+            best: best / WINDOW,
+            flows: (0..zones).map(|from| (0..zones).map(|to| flow(from, to)).collect()).collect(),
+            full,
+            service: window.answered / window.asked.max(f64::MIN_POSITIVE),
+        });
     }
     Some(cost)
 }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod day;
 mod judge;
 mod many;
+mod page;
 mod record;
 mod script;
 mod servers;
@@ -76,6 +77,8 @@
     },
     /// Check the rules on a record.
     Judge { record: PathBuf },
+    /// Write a page of what a recorded day with prices cost, as HTML.
+    Costs { record: PathBuf, page: PathBuf },
 }
 
 #[derive(clap::Args)]
@@ -122,8 +125,8 @@
     println!("cold servers: at most {:.2} of their limit, {} fell over", verdict.coldest, verdict.fell);
     println!("channel: at most {} lines waited", verdict.most_waiting);
     if let Some(cost) = cost::of(script, entries) {
-        let over = 100.0 * (cost.paid / cost.best.max(f64::MIN_POSITIVE) - 1.0);
-        println!("cost {:.1}   best after the fact {:.1}   over it {over:.2}%", cost.paid, cost.best);
+        let (paid, best, over) = (cost.paid, cost.best, cost.over());
+        println!("cost {paid:.1}   best after the fact {best:.1}   over it {over:.2}%");
         println!("fullest zone: {:.2} of what it can do", cost.fullest);
     }
     for (rule, what) in &verdict.broken {
@@ -243,6 +246,13 @@
             }
             Ok(kept)
         }
+        Command::Costs { record, page } => {
+            let (script, entries) = recorded(&record)?;
+            let cost = cost::of(&script, &entries);
+            let cost = cost.ok_or_else(|| format!("{}: the script has no prices", record.display()))?;
+            std::fs::write(&page, page::of(&cost)?).map_err(|e| format!("{}: {e}", page.display()))?;
+            Ok(true)
+        }
         Command::Judge { record } => {
             let (script, entries) = recorded(&record)?;
             Ok(report(&script, &entries))
