--- /dev/null
+++ b/handout/src/choice.rs
@@ -0,0 +1,177 @@
+//! The addresses of an answer.
+
+use crate::hosts::Hosts;
+use crate::ledger::Ledger;
+use oatlever::round::Address;
+use oatlever_tables::{Index, Line, Spread, View};
+use std::collections::{BTreeMap, HashMap};
+use std::net::Ipv4Addr;
+
+/// Times the mean of those who are known that somebody new may be worth: most are near it, few are far above.
+const NEWCOMER: f64 = 2.0;
+
+/// Who asks for what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Who {
+    pub host: Ipv4Addr,
+    pub class: u16,
+}
+
+/// How long answers live, s.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lives {
+    pub long: u32,
+    /// Where a cold server is near.
+    pub short: u32,
+    /// Answers may be in use so much longer.
+    pub overstay: f64,
+}
+
+/// An answer: servers, the first first, and its lifetime in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub servers: Vec<Address>,
+    pub lifetime: u32,
+}
+
+/// What answers did, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    /// Times a cold server was passed over.
+    pub passed_over: u64,
+    /// Answers of nothing but cold servers without room.
+    pub nothing_better: u64,
+}
+
+pub struct Handout {
+    pub ledger: Ledger,
+    pub hosts: Hosts,
+    spreads: HashMap<(u16, u16), Spread>,
+    /// Queries a second that each cold server may be brought by answers.
+    cold: BTreeMap<Address, f64>,
+    lives: Lives,
+    pub counts: Counts,
+}
+
+impl Handout {
+    /// Remembers so many askers; the key is the ledger's.
+    pub fn new(lives: Lives, most: usize, key: (u64, u64)) -> Self {
+        let (spreads, cold, counts) = Default::default();
+        Handout { ledger: Ledger::new(most, key), hosts: Hosts::new(most), spreads, cold, lives, counts }
+    }
+
+    /// The cold servers of now, and what the tables give each of those who ask here, queries a second.
+    pub fn spare(&mut self, cold: BTreeMap<Address, f64>, now: f64) {
+        self.cold = cold;
+        self.ledger.expire(now);
+    }
+
+    /// Queries a second that an asker brings at most, as far as anybody knows.
+    fn worth(&self, who: Who, now: f64) -> f64 {
+        let known = self.hosts.weight(who.host, who.class, now);
+        match self.hosts.is_known(who.host, who.class) {
+            true => known.unwrap_or(0.0),
+            false => known.unwrap_or(0.0).max(NEWCOMER * self.hosts.mean(now)),
+        }
+    }
+
+    /// What a cold server has left for an asker of this worth; none for a warm one.
+    fn left(&mut self, server: &Address, who: Who, worth: f64, now: f64) -> Option<f64> {
+        let budget = *self.cold.get(server)?;
+        let own = self.ledger.own(who.host, who.class, server, now);
+        Some(budget - (self.ledger.outstanding(server, now) - own).max(0.0) - worth)
+    }
+
+    /// Up to `most` addresses from what an asker may use; what is handed out is noted. None where the table has no
+    /// line.
+    pub fn answer(
+        &mut self,
+        view: &View,
+        who: Who,
+        most: usize,
+        zone_of: impl Fn(&Address) -> Option<u16>,
+        now: f64,
+        mut chance: impl FnMut() -> f64,
+    ) -> Option<Answer> {
+        if view.index.is_empty() {
+            return None;
+        }
+        let spread = self.spreads.entry((view.table, who.class)).or_insert_with(|| Spread::from(chance()));
+        let part = spread.step();
+        let mut drawn = view.index.draw(most, part, &mut chance);
+        let worth = self.worth(who, now);
+        let is_near =
+            !self.cold.is_empty() && view.index.lines().iter().any(|l| self.cold.contains_key(&l.server));
+        if is_near {
+            self.pass_over(&mut drawn, view.index, who, worth, now, &mut chance);
+        }
+        self.reach_two_zones(&mut drawn, view.index, zone_of, &mut chance);
+        let lifetime = if is_near { self.lives.short } else { self.lives.long };
+        let until = now + f64::from(lifetime) + self.lives.overstay;
+        let servers: Vec<Address> = drawn.iter().map(|line| line.server).collect();
+        self.ledger.hand((who.host, who.class), worth, servers.iter().copied(), until, now);
+        Some(Answer { servers, lifetime })
+    }
+
+    /// Puts others in the place of cold servers that have no room for this asker.
+    fn pass_over(
+        &mut self,
+        drawn: &mut Vec<Line>,
+        index: &Index,
+        who: Who,
+        worth: f64,
+        now: f64,
+        chance: &mut impl FnMut() -> f64,
+    ) {
+        let most = drawn.len();
+        let before = drawn.clone();
+        drawn.retain(|line| self.left(&line.server, who, worth, now).is_none_or(|left| left >= 0.0));
+        self.counts.passed_over += (most - drawn.len()) as u64;
+        while drawn.len() < most {
+            let others = index.lines().iter().filter(|line| !before.iter().any(|b| b.server == line.server));
+            let others = others.filter(|line| !drawn.iter().any(|d| d.server == line.server));
+            let mut open = Vec::new();
+            for line in others {
+                if self.left(&line.server, who, worth, now).is_none_or(|left| left >= 0.0) {
+                    open.push((line.server, line.weight));
+                }
+            }
+            let Some(next) = Index::of(open).at(chance()).copied() else { break };
+            drawn.push(next);
+        }
+        if drawn.is_empty() {
+            // Nobody is to be without an address: the one with the most room.
+            self.counts.nothing_better += 1;
+            let mut best: Option<(f64, Line)> = None;
+            for line in index.lines() {
+                let left = self.left(&line.server, who, worth, now).unwrap_or(0.0);
+                if best.is_none_or(|(most, _)| left > most) {
+                    best = Some((left, *line));
+                }
+            }
+            drawn.extend(best.map(|(_, line)| line));
+        }
+    }
+
+    /// Where the table goes to more than one zone, so does the answer, if it has room for two: a zone may be lost
+    /// while it lives.
+    fn reach_two_zones(
+        &self,
+        drawn: &mut [Line],
+        index: &Index,
+        zone_of: impl Fn(&Address) -> Option<u16>,
+        chance: &mut impl FnMut() -> f64,
+    ) {
+        let zone = drawn.first().map(|line| zone_of(&line.server));
+        let Some(last) = drawn.len().checked_sub(1).filter(|last| *last > 0) else { return };
+        if drawn.iter().any(|line| Some(zone_of(&line.server)) != zone) {
+            return;
+        }
+        let away =
+            |line: &&Line| Some(zone_of(&line.server)) != zone && !self.cold.contains_key(&line.server);
+        let others = index.lines().iter().filter(away).map(|line| (line.server, line.weight));
+        if let Some(other) = Index::of(others).at(chance()) {
+            drawn[last] = *other;
+        }
+    }
+}
--- /dev/null
+++ b/handout/src/hosts.rs
@@ -0,0 +1,101 @@
+//! What askers are worth: queries a second by address and class, the heaviest exactly, all others bounded.
+//!
+//! A space-saving sketch (Metwally, Agrawal, El Abbadi, 2005) over counts that fade: of so many counters the
+//! lightest is given to whoever has none, with all it counted. No address brings more than its counter says, and
+//! one without a counter no more than the lightest.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+
+/// s; counts fade over this: a few reports, as a terminal's queries come seldom.
+const SPAN: f64 = 10.0;
+/// Spans after which counts are written anew; sums grow by e in each until then.
+const REWRITE: f64 = 50.0;
+
+/// Counts in order, and whose they are. Counts are never below zero, so that their bits sort as they do.
+type Order = BTreeSet<(u64, Key)>;
+/// An address and a class.
+type Key = (Ipv4Addr, u16);
+
+#[derive(Clone, Debug)]
+pub struct Hosts {
+    most: usize,
+    /// Counts as of `since`: later ones weigh more, so that none has to fade.
+    counts: HashMap<Key, f64>,
+    order: Order,
+    since: f64,
+    now: f64,
+}
+
+impl Hosts {
+    /// With so many counters.
+    pub fn new(most: usize) -> Self {
+        let (counts, order) = Default::default();
+        Hosts { most: most.max(1), counts, order, since: 0.0, now: 0.0 }
+    }
+
+    fn scale(&self, now: f64) -> f64 {
+        ((now - self.since) / SPAN).exp()
+    }
+
+    /// So many queries of a class from an address were counted by now.
+    pub fn count(&mut self, host: Ipv4Addr, class: u16, queries: f64, now: f64) {
+        if !(queries > 0.0 && queries.is_finite()) {
+            return;
+        }
+        self.now = now.max(self.now);
+        if self.now - self.since > REWRITE * SPAN {
+            self.rewrite();
+        }
+        let (host, more) = ((host, class), queries * self.scale(self.now));
+        let old = match self.counts.get(&host) {
+            Some(count) => {
+                self.order.remove(&(count.to_bits(), host));
+                *count
+            }
+            None if self.counts.len() < self.most => 0.0,
+            None => {
+                let (count, lightest) = self.order.pop_first().unwrap_or((0, host));
+                self.counts.remove(&lightest);
+                f64::from_bits(count)
+            }
+        };
+        self.counts.insert(host, old + more);
+        self.order.insert(((old + more).to_bits(), host));
+    }
+
+    fn rewrite(&mut self) {
+        let scale = self.scale(self.now);
+        self.since = self.now;
+        // Whoever has not been heard of for so long has nothing left.
+        self.counts.retain(|_, count| {
+            *count /= scale;
+            *count > f64::MIN_POSITIVE
+        });
+        self.order = self.counts.iter().map(|(host, count)| (count.to_bits(), *host)).collect();
+    }
+
+    /// Queries a second of an address at most; none where nothing is known of it.
+    pub fn weight(&self, host: Ipv4Addr, class: u16, now: f64) -> Option<f64> {
+        let rate = |count: f64| count / self.scale(now.max(self.now)) / SPAN;
+        let full = self.counts.len() == self.most;
+        let lightest = self.order.first().filter(|_| full).map(|(count, _)| f64::from_bits(*count));
+        self.counts.get(&(host, class)).copied().or(lightest).map(rate)
+    }
+
+    /// Whether an address has a counter of its own.
+    pub fn is_known(&self, host: Ipv4Addr, class: u16) -> bool {
+        self.counts.contains_key(&(host, class))
+    }
+
+    /// Addresses with a counter.
+    pub fn known(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Queries a second of an address with a counter, on average.
+    pub fn mean(&self, now: f64) -> f64 {
+        let all: f64 = self.counts.values().sum::<f64>() / self.scale(now.max(self.now)) / SPAN;
+        all / self.counts.len().max(1) as f64
+    }
+}
