Choose addresses of DNS answers by the ledger: settings, the pilot, stand-in resolvers

/dns/ledger turns it on: what tables give cold servers of the address askers' queries is the budget, queries by client address (servers' counters) say what askers are worth, answers live shorter while a server is cold. oatlever holders SERVER. A front without the ledger answers as before.

--- a/benches/src/front.rs
+++ b/benches/src/front.rs
@@ -1,10 +1,12 @@
 //! The DNS front beside a bare UDP echo: one serving thread each, the same clients.
 
-use crate::fleet::Fleet;
+use crate::fleet::{server, Fleet};
 use async_io::Async;
 use hdrhistogram::Histogram;
+use oatlever::round::Address;
 use oatlever_askers::Prefixes;
 use oatlever_dns::{serve_udp, Desk, Front, Handler, Via};
+use oatlever_handout::{Answer, Handout, Lives, Who};
 use oatlever_settings::Settings;
 use oatlever_tables::View;
 use std::cell::RefCell;
@@ -16,18 +18,33 @@
 const CLIENTS: usize = 2;
 const UNDER_WAY: usize = 16;
 
-struct Book(Fleet);
+/// Askers that ask at random, where a ledger is kept.
+const ASKERS: u32 = 20_000;
+
+struct Book {
+    fleet: Fleet,
+    handout: Handout,
+    chance: fastrand::Rng,
+}
 
 impl Desk for Book {
     fn asks(&mut self, asker: u16, class: u16, now: f64) -> Option<View<'_>> {
-        self.0.tables.hand_out(asker, class, now);
-        self.0.tables.held(asker, class)
+        self.fleet.tables.hand_out(asker, class, now);
+        self.fleet.tables.held(asker, class)
+    }
+    fn addresses(&mut self, asker: u16, class: u16, _: Ipv4Addr, most: usize, now: f64) -> Option<Answer> {
+        self.fleet.tables.hand_out(asker, class, now);
+        let view = self.fleet.tables.held(asker, class)?;
+        let chance = &mut self.chance;
+        let host = Ipv4Addr::from(0x0a00_0000 + chance.u32(..ASKERS));
+        let zone = |server: &Address| Some(u16::from(server.host[3]) % 3);
+        self.handout.answer(&view, Who { host, class, group: 100.0 }, most, zone, now, || chance.f64())
     }
     fn knows(&self, _: Ipv4Addr) -> bool {
         true
     }
     fn version(&self) -> u64 {
-        self.0.tables.version()
+        self.fleet.tables.version()
     }
 }
 
@@ -120,8 +137,31 @@
     (all.len() as f64 / seconds, all.value_at_quantile(0.5), all.value_at_quantile(0.99), size)
 }
 
+/// What is kept of handed-out addresses.
+#[derive(Clone, Copy)]
+enum Kept {
+    Nothing,
+    Ledger,
+    /// With so many servers cold.
+    Cold(u16),
+}
+
+impl Kept {
+    fn handout(self) -> Handout {
+        let lives = Lives { long: 1, short: 1, overstay: 0.5 };
+        let mut handout = Handout::new(lives, 65_536, (1, 2), 0.0);
+        match self {
+            Kept::Nothing => return Handout::plain(lives),
+            Kept::Ledger => {}
+            Kept::Cold(count) => handout.spare((0..count).map(|n| (server(n), 20.0)).collect(), 0.0),
+        }
+        (0..ASKERS).for_each(|n| handout.hosts.count(Ipv4Addr::from(0x0a00_0000 + n), 0, 5.0, 1000.0));
+        handout
+    }
+}
+
 /// A server on a thread of its own, for the life of the process.
-fn serve(echo: bool, servers: u16) -> SocketAddr {
+fn serve(echo: bool, servers: u16, kept: Kept) -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
     let host = socket.local_addr().expect("an address");
     std::thread::spawn(move || {
@@ -140,7 +180,11 @@
         prefixes.insert(Ipv4Addr::new(127, 0, 0, 0), 8, 0);
         let served = Served {
             front: RefCell::new(Front::new(&settings, Rc::new(prefixes), 1).expect("a front")),
-            book: RefCell::new(Book(Fleet::new(servers, 12))),
+            book: RefCell::new(Book {
+                fleet: Fleet::new(servers, 12),
+                handout: kept.handout(),
+                chance: fastrand::Rng::with_seed(2),
+            }),
             began: Instant::now(),
         };
         let _ = async_io::block_on(serve_udp(socket, Rc::new(served)));
@@ -154,14 +198,18 @@
     let addresses = question("search.shops.test", 1);
     let none = question("nothing.shops.test", 1);
     let cases = [
-        ("SRV, 8 servers and addresses", 8, &services),
-        ("SRV, 24 servers", 24, &services),
-        ("A, 4 of 24 servers drawn", 24, &addresses),
-        ("A, 4 of 300 servers drawn", 300, &addresses),
-        ("no such name", 24, &none),
+        ("SRV, 8 servers and addresses", 8, &services, Kept::Nothing),
+        ("SRV, 24 servers", 24, &services, Kept::Nothing),
+        ("A, 4 of 24 servers drawn", 24, &addresses, Kept::Nothing),
+        ("the same with the ledger", 24, &addresses, Kept::Ledger),
+        ("the same with 3 servers cold", 24, &addresses, Kept::Cold(3)),
+        ("A, 4 of 300 servers drawn", 300, &addresses, Kept::Nothing),
+        ("the same with the ledger", 300, &addresses, Kept::Ledger),
+        ("the same with 40 servers cold", 300, &addresses, Kept::Cold(40)),
+        ("no such name", 24, &none, Kept::Nothing),
     ];
-    for (what, servers, packet) in cases {
-        let (bare, front) = (serve(true, 0), serve(false, servers));
+    for (what, servers, packet, kept) in cases {
+        let (bare, front) = (serve(true, 0, kept), serve(false, servers, kept));
         load(bare, packet, 0.2);
         load(front, packet, 0.2);
         let (echo, median, late, size) = load(bare, packet, seconds);
--- a/dns/src/front.rs
+++ b/dns/src/front.rs
@@ -1,15 +1,16 @@
 //! One question, one answer.
 
 use crate::names::{Names, What};
-use crate::prepared::{question, Addresses, Head, Prepared};
+use crate::prepared::{question, Addresses, Prepared};
 use hickory_proto::op::{Edns, Message, MessageType, Metadata, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{ClientSubnet, EdnsCode, EdnsOption};
 use hickory_proto::rr::rdata::{A, HINFO, NS, SOA, SRV};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
 use hickory_proto::ProtoError;
 use oatlever_askers::{Allowance, Cookies, Limits, Prefixes, Proof};
+use oatlever_handout::Answer;
 use oatlever_settings::{checks, Settings};
-use oatlever_tables::{Index, Spread, View};
+use oatlever_tables::{Index, View};
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -29,6 +30,9 @@
 pub trait Desk {
     /// What this asker may use for this class now; that it asks is noted.
     fn asks(&mut self, asker: u16, class: u16, now: f64) -> Option<View<'_>>;
+    /// Addresses of up to so many servers for a host of this asker, by the same table and noted alike; with no
+    /// server where the table has no line.
+    fn addresses(&mut self, asker: u16, class: u16, host: Ipv4Addr, most: usize, now: f64) -> Option<Answer>;
     /// Whether a server of this address is listed.
     fn knows(&self, host: Ipv4Addr) -> bool;
     /// Counts changes of tables.
@@ -67,10 +71,8 @@
     own: Ipv4Addr,
     limits: Limits,
     cookies: Cookies,
-    spreads: HashMap<(u16, u16), Spread>,
     prepared: Prepared,
     made: Addresses,
-    chance: fastrand::Rng,
     pub counts: Counts,
 }
 
@@ -121,10 +123,8 @@
                 (chance.u64(..), chance.u64(..)),
             ),
             cookies: Cookies::new(key),
-            spreads: HashMap::new(),
             prepared: Prepared::default(),
-            made: Addresses::new(settings.dns.lifetime)?,
-            chance,
+            made: Addresses::new()?,
             counts: Counts::default(),
         })
     }
@@ -238,6 +238,24 @@
                     reply.fail(ResponseCode::FormErr);
                     return Ok(None);
                 };
+                let edns = reply.edns.as_ref().map(Record::from);
+                let head = (&reply.metadata, question, edns.as_ref());
+                if kind == RecordType::A {
+                    let room = self.made.room(head, most)?.clamp(1, self.most_addresses);
+                    let host = client.host.unwrap_or(Ipv4Addr::UNSPECIFIED);
+                    return match desk.addresses(asker, class, host, room, now) {
+                        Some(answer) if !answer.servers.is_empty() => {
+                            let hosts: Vec<Ipv4Addr> =
+                                answer.servers.iter().map(|server| server.host.into()).collect();
+                            self.made.message(head, &hosts, answer.lifetime).map(Some)
+                        }
+                        Some(_) => self.no_data(reply, desk.version()).map(|()| None),
+                        None => {
+                            reply.fail(ResponseCode::ServFail);
+                            Ok(None)
+                        }
+                    };
+                }
                 let Some(view) = desk.asks(asker, class, now) else {
                     reply.fail(ResponseCode::ServFail);
                     return Ok(None);
@@ -245,11 +263,6 @@
                 if view.index.is_empty() {
                     return self.no_data(reply, desk.version()).map(|()| None);
                 }
-                let edns = reply.edns.as_ref().map(Record::from);
-                let head = (&reply.metadata, question, edns.as_ref());
-                if kind == RecordType::A {
-                    return self.addresses(head, class, view, most).map(Some);
-                }
                 let key = (view.table, view.version, query.name());
                 let (names, lifetime) = (&self.names, self.lifetime);
                 let records = || services(names, query.name(), lifetime, view.index);
@@ -276,16 +289,6 @@
         Ok(None)
     }
 
-    /// An answer of some servers' addresses, the first drawn so that those who keep one spread by weight.
-    fn addresses(&mut self, head: Head, class: u16, view: View, most: usize) -> Result<Vec<u8>, ProtoError> {
-        let room = self.made.room(head, most)?.max(1);
-        let chance = &mut self.chance;
-        let spread = self.spreads.entry((view.table, class)).or_insert_with(|| Spread::from(chance.f64()));
-        let drawn = view.index.draw(self.most_addresses.min(room), spread.step(), || chance.f64());
-        let hosts: Vec<Ipv4Addr> = drawn.iter().map(|line| line.server.host.into()).collect();
-        self.made.message(head, &hosts)
-    }
-
     /// RFC 7871: an address stated by a trusted resolver stands for the source.
     fn client(&self, edns: Option<&Edns>, source: Option<Ipv4Addr>) -> Client {
         let stated = edns.and_then(|edns| match edns.option(EdnsCode::Subnet) {
--- a/dns/src/prepared.rs
+++ b/dns/src/prepared.rs
@@ -16,7 +16,9 @@
 const HEADER: usize = 12;
 const TYPE_AND_CLASS: usize = 4;
 
-/// Bytes of an IPv4 address.
+/// Bytes of a record's lifetime, of its data's length, and of an IPv4 address (RFC 1035).
+const LIFETIME: usize = 4;
+const LENGTH: usize = 2;
 const ADDRESS: usize = 4;
 /// Names kept; past this all are made anew. Names that get an answer are bounded by the settings, so that
 /// only settings with very many classes and zones ever come here.
@@ -110,29 +112,38 @@
     Ok(out)
 }
 
-/// A records of whatever name was asked for, encoded once but for their addresses.
+/// A records of whatever name was asked for, encoded once but for their lifetimes and addresses.
 pub struct Addresses {
-    /// All of a record before its address.
+    /// All of a record before its lifetime.
     start: Vec<u8>,
+    /// What stands between lifetime and address: the address's length.
+    middle: Vec<u8>,
 }
 
 impl Addresses {
-    pub fn new(lifetime: u32) -> Result<Self, ProtoError> {
+    pub fn new() -> Result<Self, ProtoError> {
         let name = Name::from_ascii("any.")?;
-        let record = Record::from_rdata(name.clone(), lifetime, RData::A(A(Ipv4Addr::UNSPECIFIED)));
+        let record = Record::from_rdata(name.clone(), 0, RData::A(A(Ipv4Addr::UNSPECIFIED)));
         let body = encode(0, &name, vec![record], Vec::new())?.body;
-        Ok(Addresses { start: body[..body.len() - ADDRESS].to_vec() })
+        let (start, rest) = body.split_at(body.len() - ADDRESS - LENGTH - LIFETIME);
+        Ok(Addresses { start: start.to_vec(), middle: rest[LIFETIME..LIFETIME + LENGTH].to_vec() })
     }
 
     /// How many addresses a message of so many bytes takes.
     pub fn room(&self, head: Head, most: usize) -> Result<usize, ProtoError> {
         let fixed = HEADER + head.1.len() + options(head.2)?.len();
-        Ok(most.saturating_sub(fixed) / (self.start.len() + ADDRESS))
+        Ok(most.saturating_sub(fixed) / (self.start.len() + LIFETIME + LENGTH + ADDRESS))
     }
 
-    pub fn message(&self, head: Head, hosts: &[Ipv4Addr]) -> Result<Vec<u8>, ProtoError> {
-        let records = hosts.iter().flat_map(|host| self.start.iter().copied().chain(host.octets()));
-        let body: Vec<u8> = records.collect();
+    /// `lifetime` in seconds.
+    pub fn message(&self, head: Head, hosts: &[Ipv4Addr], lifetime: u32) -> Result<Vec<u8>, ProtoError> {
+        let mut body = Vec::with_capacity(hosts.len() * (self.start.len() + LIFETIME + LENGTH + ADDRESS));
+        for host in hosts {
+            body.extend_from_slice(&self.start);
+            body.extend_from_slice(&lifetime.to_be_bytes());
+            body.extend_from_slice(&self.middle);
+            body.extend_from_slice(&host.octets());
+        }
         whole(head, (hosts.len() as u16, &body), (0, &options(head.2)?))
     }
 }
--- a/dns/tests/front.rs
+++ b/dns/tests/front.rs
@@ -7,6 +7,7 @@
 use oatlever::round::{Address, Writer};
 use oatlever_askers::Prefixes;
 use oatlever_dns::{Desk, Front, Via};
+use oatlever_handout::{Answer, Handout, Lives, Who};
 use oatlever_settings::Settings;
 use oatlever_tables::{Kind, News, Pull, Tables, View};
 use quickcheck::{quickcheck, Gen};
@@ -35,12 +36,21 @@
     oatlever_settings::read(text).unwrap()
 }
 
-struct Book(Tables);
+const LIVES: Lives = Lives { long: 1, short: 1, overstay: 0.5 };
+
+struct Book(Tables, Handout);
 
 impl Desk for Book {
     fn asks(&mut self, asker: u16, class: u16, _: f64) -> Option<View<'_>> {
         self.0.held(asker, class)
     }
+    fn addresses(&mut self, asker: u16, class: u16, host: Ipv4Addr, most: usize, now: f64) -> Option<Answer> {
+        let view = self.0.held(asker, class)?;
+        let none = Answer { servers: Vec::new(), lifetime: 1 };
+        let who = Who { host, class, group: 1.0 };
+        let mut chance = fastrand::Rng::with_seed(now.to_bits());
+        Some(self.1.answer(&view, who, most, |_| None, now, || chance.f64()).unwrap_or(none))
+    }
     fn knows(&self, host: Ipv4Addr) -> bool {
         host.octets()[..3] == [10, 0, 0]
     }
@@ -75,7 +85,11 @@
         tables.bind(1, 1);
         tables.bind(3, 2);
         tables.close();
-        Play { front: Front::new(&settings, Rc::new(prefixes), 5).unwrap(), book: Book(tables), now: 0.0 }
+        Play {
+            front: Front::new(&settings, Rc::new(prefixes), 5).unwrap(),
+            book: Book(tables, Handout::plain(LIVES)),
+            now: 0.0,
+        }
     }
 
     fn send(&mut self, packet: &[u8], source: [u8; 4], via: Via) -> Option<Vec<u8>> {
--- a/handout/src/choice.rs
+++ b/handout/src/choice.rs
@@ -11,10 +11,12 @@
 const NEWCOMER: f64 = 2.0;
 
 /// Who asks for what.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Who {
     pub host: Ipv4Addr,
     pub class: u16,
+    /// Queries a second of all that it is counted among.
+    pub group: f64,
 }
 
 /// How long answers live, s.
@@ -50,14 +52,26 @@
     /// Queries a second that each cold server may be brought by answers.
     cold: BTreeMap<Address, f64>,
     lives: Lives,
+    /// s; until then somebody else's answers may be out there.
+    unknown_until: f64,
+    /// Nothing is counted, and no cold server passed over.
+    plain: bool,
     pub counts: Counts,
 }
 
 impl Handout {
-    /// Remembers so many askers; the key is the ledger's.
-    pub fn new(lives: Lives, most: usize, key: (u64, u64)) -> Self {
+    /// Remembers so many askers; the key is the ledger's. What others handed out before `start` is assumed to be in
+    /// use as long as anything could be: cold servers get nothing until then.
+    pub fn new(lives: Lives, most: usize, key: (u64, u64), start: f64) -> Self {
         let (spreads, cold, counts) = Default::default();
-        Handout { ledger: Ledger::new(most, key), hosts: Hosts::new(most), spreads, cold, lives, counts }
+        let unknown_until = start + f64::from(lives.long) + lives.overstay;
+        let (ledger, hosts) = (Ledger::new(most, key), Hosts::new(most));
+        Handout { ledger, hosts, spreads, cold, lives, unknown_until, plain: false, counts }
+    }
+
+    /// Without a ledger: draws by weight, and nothing else.
+    pub fn plain(lives: Lives) -> Self {
+        Handout { plain: true, ..Handout::new(lives, 1, (0, 0), 0.0) }
     }
 
     /// The cold servers of now, and what the tables give each of those who ask here, queries a second.
@@ -66,18 +80,28 @@
         self.ledger.expire(now);
     }
 
+    /// Queries a second that a cold server may be brought; none for a warm one.
+    pub fn budget(&self, server: &Address) -> Option<f64> {
+        self.cold.get(server).copied()
+    }
+
     /// Queries a second that an asker brings at most, as far as anybody knows.
     fn worth(&self, who: Who, now: f64) -> f64 {
         let known = self.hosts.weight(who.host, who.class, now);
-        match self.hosts.is_known(who.host, who.class) {
-            true => known.unwrap_or(0.0),
-            false => known.unwrap_or(0.0).max(NEWCOMER * self.hosts.mean(now)),
+        if self.hosts.is_known(who.host, who.class) {
+            return known.unwrap_or(0.0);
         }
+        // Before anybody is known, one may be all of them.
+        let unsure = if self.hosts.known() == 0 { who.group } else { NEWCOMER * self.hosts.mean(now) };
+        known.unwrap_or(0.0).max(unsure)
     }
 
     /// What a cold server has left for an asker of this worth; none for a warm one.
     fn left(&mut self, server: &Address, who: Who, worth: f64, now: f64) -> Option<f64> {
         let budget = *self.cold.get(server)?;
+        if now < self.unknown_until {
+            return Some(f64::NEG_INFINITY);
+        }
         let own = self.ledger.own(who.host, who.class, server, now);
         Some(budget - (self.ledger.outstanding(server, now) - own).max(0.0) - worth)
     }
@@ -99,6 +123,10 @@
         let spread = self.spreads.entry((view.table, who.class)).or_insert_with(|| Spread::from(chance()));
         let part = spread.step();
         let mut drawn = view.index.draw(most, part, &mut chance);
+        if self.plain {
+            let servers = drawn.iter().map(|line| line.server).collect();
+            return Some(Answer { servers, lifetime: self.lives.long });
+        }
         let worth = self.worth(who, now);
         let is_near =
             !self.cold.is_empty() && view.index.lines().iter().any(|l| self.cold.contains_key(&l.server));
@@ -144,7 +172,8 @@
             self.counts.nothing_better += 1;
             let mut best: Option<(f64, Line)> = None;
             for line in index.lines() {
-                let left = self.left(&line.server, who, worth, now).unwrap_or(0.0);
+                let held = self.ledger.outstanding(&line.server, now);
+                let left = self.cold.get(&line.server).copied().unwrap_or(0.0) - held;
                 if best.is_none_or(|(most, _)| left > most) {
                     best = Some((left, *line));
                 }
--- a/handout/tests/handout.rs
+++ b/handout/tests/handout.rs
@@ -128,7 +128,7 @@
 }
 
 fn ask(handout: &mut Handout, index: &Index, who: u32, now: f64, chance: &mut fastrand::Rng) -> Answer {
-    let who = Who { host: host(who), class: 0 };
+    let who = Who { host: host(who), class: 0, group: 100.0 };
     handout.answer(&view(index), who, 3, zone, now, || chance.f64()).unwrap()
 }
 
@@ -137,7 +137,7 @@
 #[test]
 fn no_cold_server_has_more_out_than_it_may() {
     let mut chance = fastrand::Rng::with_seed(4);
-    let mut handout = Handout::new(LIVES, 4096, (3, 4));
+    let mut handout = Handout::new(LIVES, 4096, (3, 4), -10.0);
     let index = Index::of((0..8).map(|n| (server(n), if n < 2 { 0.3 } else { 1.0 })));
     handout.spare([(server(0), 4.0), (server(1), 2.0)].into(), 0.0);
     let (mut now, mut given) = (0.0, [0; 8]);
@@ -173,7 +173,7 @@
 #[test]
 fn a_server_that_restarts_keeps_its_holders() {
     let mut chance = fastrand::Rng::with_seed(5);
-    let mut handout = Handout::new(LIVES, 4096, (3, 4));
+    let mut handout = Handout::new(LIVES, 4096, (3, 4), -10.0);
     let index = Index::of((0..6).map(|n| (server(n), 1.0)));
     for who in 0..120 {
         handout.hosts.count(host(who), 0, 5.0, 1.0);
@@ -198,7 +198,7 @@
 #[test]
 fn nobody_is_without_an_address() {
     let mut chance = fastrand::Rng::with_seed(6);
-    let mut handout = Handout::new(LIVES, 64, (3, 4));
+    let mut handout = Handout::new(LIVES, 64, (3, 4), -10.0);
     let index = Index::of((0..3).map(|n| (server(n), 1.0)));
     handout.spare((0..3).map(|n| (server(n), 0.5)).collect(), 0.0);
     handout.hosts.count(host(0), 0, 100.0, 0.0);
@@ -210,7 +210,14 @@
     }
     assert!(given.len() == 3 && handout.counts.nothing_better > 10, "spread over all: {given:?}");
     assert_eq!(
-        handout.answer(&view(&Index::default()), Who { host: host(0), class: 0 }, 3, zone, 0.2, || 0.5),
+        handout.answer(
+            &view(&Index::default()),
+            Who { host: host(0), class: 0, group: 100.0 },
+            3,
+            zone,
+            0.2,
+            || 0.5
+        ),
         None
     );
 }
@@ -219,7 +226,7 @@
 #[test]
 fn shares_follow_the_weights_and_answers_reach_two_zones() {
     let mut chance = fastrand::Rng::with_seed(7);
-    let mut handout = Handout::new(LIVES, 4096, (3, 4));
+    let mut handout = Handout::new(LIVES, 4096, (3, 4), -10.0);
     // Three servers of one zone weigh nearly everything.
     let weights = [40.0, 1.0, 30.0, 1.0, 28.0];
     let index = Index::of(weights.iter().enumerate().map(|(n, weight)| (server(n as u8), *weight)));
@@ -235,3 +242,22 @@
         assert!((found - weight / 100.0).abs() < 0.02, "{first:?}");
     }
 }
+
+/// A pilot that has just started knows of no holder and of no asker: cold servers get nothing until all that another
+/// may have handed out has run out, and then nobody unknown who may be all of his group.
+#[test]
+fn what_is_unknown_counts_high() {
+    let mut chance = fastrand::Rng::with_seed(8);
+    let mut handout = Handout::new(LIVES, 64, (3, 4), 100.0);
+    let index = Index::of((0..4).map(|n| (server(n), 1.0)));
+    handout.spare([(server(0), 20.0)].into(), 100.0);
+    let mut got = |handout: &mut Handout, from: u32, now: f64| {
+        (from..from + 50).any(|who| ask(handout, &index, who, now, &mut chance).servers.contains(&server(0)))
+    };
+    (0..200).for_each(|who| handout.hosts.count(host(who), 0, 1.0, 100.0));
+    assert!(!got(&mut handout, 0, 104.4));
+    assert!(got(&mut handout, 0, 104.6));
+    let mut fresh = Handout::new(LIVES, 64, (3, 4), 0.0);
+    fresh.spare([(server(0), 20.0)].into(), 100.0);
+    assert!(!got(&mut fresh, 0, 100.0));
+}
--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -220,6 +220,13 @@
     let path = request.uri.path().trim_start_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
     let method = &request.method;
+    if let (&Method::GET, ["holders", server]) = (method, &parts[..]) {
+        let mut core = pilot.core.borrow_mut();
+        let now = core.now();
+        let server = server.parse::<SocketAddrV4>().map_err(|e| format!("{server}: {e}"));
+        let server = server.map(|server| Address { host: server.ip().octets(), port: server.port() });
+        return told(server.and_then(|server| core.handing.holders(&server, now)));
+    }
     if let (&Method::POST, ["prices", zone, price]) = (method, &parts[..]) {
         return told(reprice(pilot, zone, price));
     }
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -2,12 +2,14 @@
 //! what they order goes to the tables. Times are seconds on the pilot's own clock, which nothing steps.
 
 use crate::guarding::Guarding;
+use crate::handing::Handing;
 use crate::planning::Planning;
 use crate::wakes::Wakes;
 use oatlever::balance::Balancer;
 use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream};
 use oatlever_askers::{Prefixes, Presence};
 use oatlever_dns::Desk;
+use oatlever_handout::Answer;
 use oatlever_reports::{Counters, Owner, Sums, Target, Text};
 use oatlever_roster::{Book, Document, Moment, Taken};
 use oatlever_settings::{checks, Settings};
@@ -43,6 +45,7 @@
     pub tables: Tables,
     pub guarding: Option<Guarding>,
     pub planning: Option<Planning>,
+    pub handing: Handing,
     pub presence: Presence,
     pub book: Book,
     pub sums: Sums,
@@ -106,6 +109,7 @@
             tables: Tables::new(settings.askers.len(), classes, pull, HISTORY),
             guarding: Guarding::new(&settings),
             planning: Planning::new(&settings),
+            handing: Handing::new(&settings, seed, now),
             presence: Presence::new(&groups, settings.status.away_after),
             book: Book::default(),
             sums: Sums::new(settings.reports.period, names),
@@ -335,6 +339,7 @@
             let zone = |asker| self.owners.get(usize::from(asker)).map_or(0, |owner: &Owner| owner.zone);
             round.plan = planning.plan(&round, &self.book, zone, &self.settings);
         }
+        self.handing.hear(&round, &mut self.sums);
         let (version, news) = (self.tables.version(), News::of(&round));
         self.tables.open(now, self.counts.rounds, news);
         self.balancer.round(&round, &mut self.tables);
@@ -345,6 +350,7 @@
                 self.tables.close_reviewed(&mut guarding.review(&self.settings))
             }
         };
+        self.handing.spare(&self.tables, &self.book, &self.settings, now);
         for (after, number) in chores.wakes {
             self.wakes.ask(now + after, number);
         }
@@ -399,6 +405,12 @@
         self.tables.held(asker, class)
     }
 
+    fn addresses(&mut self, asker: u16, class: u16, host: Ipv4Addr, most: usize, now: f64) -> Option<Answer> {
+        self.asks(asker, class, now)?;
+        let Core { handing, tables, book, settings, .. } = self;
+        handing.answer(tables, book, (asker, class, host), most, settings, now)
+    }
+
     fn knows(&self, host: Ipv4Addr) -> bool {
         let host = host.octets();
         let ports = Address { host, port: 0 }..=Address { host, port: u16::MAX };
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -4,6 +4,7 @@
 mod core;
 mod drill;
 mod guarding;
+mod handing;
 mod logs;
 mod metrics;
 mod pages;
@@ -53,6 +54,13 @@
         #[command(subcommand)]
         what: control::Command,
     },
+    /// What answers of the DNS front may still bring a server, and until when.
+    Holders {
+        /// The pilot's `/control/socket`.
+        #[arg(long)]
+        socket: PathBuf,
+        server: std::net::SocketAddrV4,
+    },
     /// Give a zone's servers another price on a running pilot, until it restarts.
     Price {
         /// The pilot's `/control/socket`.
@@ -123,6 +131,10 @@
         Command::Tables { socket, what } => {
             what.request().and_then(|request| control::tell(&socket, request)).map_err(failed)
         }
+        Command::Holders { socket, server } => {
+            let request = ("GET", format!("/holders/{server}"), String::new());
+            control::tell(&socket, request).map_err(failed)
+        }
         Command::Price { socket, price } => {
             control::price(&price).and_then(|request| control::tell(&socket, request)).map_err(failed)
         }
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -73,6 +73,24 @@
         counts(r, ("guard_findings", "What the guard found wrong, by check", "check"), &guard.findings);
         counts(r, ("guard_verdicts", "Verdicts of the guard, by outcome", "outcome"), &guard.outcomes);
     }
+    if core.settings.dns.ledger.is_some() {
+        let handout = &core.handing.handout;
+        measure(
+            r,
+            "ledger_servers",
+            "Servers that answers may still bring queries",
+            handout.ledger.servers() as f64,
+        );
+        measure(r, "ledger_askers", "Askers and classes remembered", handout.ledger.remembered() as f64);
+        count(r, "ledger_forgotten", "Askers forgotten while their answers lived", handout.ledger.forgotten);
+        count(r, "ledger_passed_over", "Times a cold server was passed over", handout.counts.passed_over);
+        count(
+            r,
+            "ledger_nothing_better",
+            "Answers of cold servers past their budget",
+            handout.counts.nothing_better,
+        );
+    }
     if let Some(planning) = &core.planning {
         counts(r, ("plans", "Plans, by what came of them", "outcome"), &planning.outcomes);
         if let Some((_, Ok(decided))) = &planning.last {
--- a/reports/src/sums.rs
+++ b/reports/src/sums.rs
@@ -35,6 +35,8 @@
     classes: Vec<String>,
     met: BTreeMap<(Address, u16), Met>,
     came: BTreeMap<(u16, u8), (f64, f64)>,
+    /// Queries by client address and class, of those who come without a proxy.
+    pub clients: BTreeMap<(Ipv4Addr, u8), f64>,
     /// The last figures of queries in flight that servers gave.
     pub in_flight: BTreeMap<Address, f64>,
     /// Samples with labels that name nothing known.
@@ -48,8 +50,8 @@
 
 impl Sums {
     pub fn new(period: f64, classes: Vec<String>) -> Self {
-        let (met, came, in_flight) = Default::default();
-        Sums { period, classes, met, came, in_flight, strange: 0 }
+        let (met, came, clients, in_flight) = Default::default();
+        Sums { period, classes, met, came, clients, in_flight, strange: 0 }
     }
 
     fn class(&self, sample: &Sample) -> Option<u8> {
@@ -125,7 +127,10 @@
             let amount = sample.value * part;
             if field == "queries_total" {
                 match self.class(sample) {
-                    Some(class) => self.add_queries(owner.asker, class, amount, span),
+                    Some(class) => {
+                        self.add_queries(owner.asker, class, amount, span);
+                        *self.clients.entry((client, class)).or_default() += amount;
+                    }
                     None => self.strange += 1,
                 }
                 self.add(server, owner.zone, "tries_total", amount, span);
--- a/settings/src/checks.rs
+++ b/settings/src/checks.rs
@@ -144,6 +144,11 @@
         );
         out.push(wrong("/dns/lifetime".into(), &sum, most));
     }
+    let short = s.dns.ledger.as_ref().and_then(|ledger| ledger.lifetime_short);
+    if let Some(short) = short.filter(|short| *short > s.dns.lifetime) {
+        let most = format!("/dns/lifetime, {} s, at most", s.dns.lifetime);
+        out.push(wrong("/dns/ledger/lifetime_short".into(), short, most));
+    }
     // A server that left is still in answers; who holds only such has none until they run out.
     if hold >= s.rules.without_server {
         let most = format!("less than /rules/without_server, {} s", s.rules.without_server);
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -347,6 +347,27 @@
     pub trusted_resolvers: Vec<String>,
     #[serde(default)]
     pub limits: DnsLimits,
+    /// A ledger of what was handed out, by which cold servers are spared; none without.
+    #[serde(default)]
+    pub ledger: Option<DnsLedger>,
+}
+
+/// What is remembered of handed-out addresses.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DnsLedger {
+    /// Askers remembered at once, each for every class that it asks for.
+    #[serde(default = "askers")]
+    #[schemars(range(min = 16, max = 10_000_000))]
+    pub askers: usize,
+    /// s; lifetime of address answers while a server of their table is cold; `lifetime` where left out.
+    #[serde(default)]
+    #[schemars(range(min = 0, max = 3600))]
+    pub lifetime_short: Option<u32>,
+}
+
+fn askers() -> usize {
+    65_536
 }
 
 fn udp_bytes() -> u16 {
--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -38,6 +38,8 @@
     /// A relay asks for SRV and counts; a terminal asks for A and keeps one address.
     pub relay: bool,
     pub front: Front,
+    /// Many stand behind it and use what it got.
+    pub resolver: bool,
     pub running: Cell<bool>,
     held: RefCell<Vec<Held>>,
     /// Classes that a terminal keeps asking for, as no answer has come.
@@ -83,6 +85,7 @@
             zone,
             relay,
             front,
+            resolver: false,
             running: Cell::new(false),
             held: RefCell::new(vec![Held::default(); classes]),
             asking: RefCell::new(vec![false; classes]),
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -143,7 +143,8 @@
             world.askers.borrow_mut().push(Rc::new(asker));
         }
         for n in 0..script.terminals {
-            let asker = Asker::new(world.realm.terminal(zone, n), zone, false, Front::Dns, classes);
+            let mut asker = Asker::new(world.realm.terminal(zone, n), zone, false, Front::Dns, classes);
+            asker.resolver = n == 0;
             world.askers.borrow_mut().push(Rc::new(asker));
         }
     }
@@ -246,8 +247,14 @@
             target -= class.part;
             target < 0.0
         });
+        let weight = |asker: &&Rc<Asker>| if asker.resolver { script.resolver } else { 1.0 };
         let running: Vec<&Rc<Asker>> = askers.iter().filter(|asker| asker.running.get()).collect();
-        if let Some(asker) = running.get((world.chance() * running.len() as f64) as usize) {
+        let mut target = world.chance() * running.iter().map(weight).sum::<f64>();
+        let found = running.iter().find(|asker| {
+            target -= weight(asker);
+            target < 0.0
+        });
+        if let Some(asker) = found {
             let work = Rc::clone(asker).query(world.clone(), class.unwrap_or(0));
             world.executor.spawn(work).detach();
         }
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -36,6 +36,12 @@
     /// The mode of the pilot's guard; none without.
     #[serde(default)]
     pub guard: Option<String>,
+    /// The first terminal of each zone is a resolver that hands its answers on to so many.
+    #[serde(default = "one")]
+    pub resolver: f64,
+    /// The pilot keeps a ledger of what it hands out.
+    #[serde(default)]
+    pub ledger: bool,
     /// What servers and ways cost; none without.
     #[serde(default)]
     pub costs: Option<Costs>,
@@ -121,6 +127,10 @@
     pub part: f64,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -259,7 +269,8 @@
             "checks": {"path": "/health", "patience": 0.5},
             "askers": askers,
             "dns": {"listen": [self.dns()], "origin": "shops.test", "address": "127.0.0.1",
-                "lifetime": script.lifetime, "overstay": script.overstay},
+                "lifetime": script.lifetime, "overstay": script.overstay,
+                "ledger": script.ledger.then(|| json!({}))},
             "xds": {"listen": [self.xds()], "patience": 2.0},
             "status": {"listen": self.status(), "away_after": 5.0},
         })
--- a/standins/tests/days.rs
+++ b/standins/tests/days.rs
@@ -145,6 +145,18 @@
     assert!(service(&report) > 0.5, "{report}");
 }
 
+/// Zones restart cold one after the other while resolvers, each with sixty terminals behind it, ask by DNS: with
+/// the ledger none of them brings a cold server all of its terminals.
+#[test]
+fn resolvers_push_no_cold_server_over() {
+    let faults = json!([{"at": 5, "for": 1, "kind": "restart", "zone": 1},
+                        {"at": 12, "for": 1, "kind": "restart", "zone": 2}]);
+    let load = json!({"warm_within": 8, "relay_rate": 20, "terminal_rate": 60, "terminals": 6, "resolver": 60,
+                      "ledger": true});
+    let report = day(23, 20.0, faults, load);
+    assert!(service(&report) > 0.6, "{report}");
+}
+
 /// The same hand, where everybody asks by DNS.
 #[test]
 fn the_guard_refuses_what_a_hand_lays_over_dns() {
