--- a/benches/src/fleet.rs
+++ b/benches/src/fleet.rs
@@ -135,7 +135,8 @@
 }
 
 /// KiB of memory that this process holds.
-fn memory() -> f64 {
+/// KiB that this process holds.
+pub fn memory() -> f64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = text.lines().find(|line| line.starts_with("VmRSS:"));
     line.and_then(|line| line.split_whitespace().nth(1)).and_then(|n| n.parse().ok()).unwrap_or(0.0)
--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod front;
+mod ledgers;
 mod plans;
 mod streams;
 mod structures;
@@ -30,6 +31,8 @@
     Streams,
     /// A verdict of the guard, by size and change; its index beside a recount.
     Verdicts,
+    /// The ledger of handed-out addresses beside plain maps: time and memory by askers.
+    Ledgers,
     /// A plan by size: anew, after a change, where not all fits.
     Plans,
     /// Our structures beside plain ones.
@@ -42,6 +45,7 @@
         What::Rounds => fleet::measure(),
         What::Streams => streams::measure(),
         What::Verdicts => verdicts::measure(),
+        What::Ledgers => ledgers::measure(),
         What::Plans => plans::measure(),
         What::Structures => structures::measure(),
     }
