Find out who keeps answers past their end, and count their holds for as long

Servers' counters by client show an asker at a server that it was last handed too long ago; its next holds count as long as it was late. Resolvers of the stand-ins may keep answers for several lifetimes.

--- a/handout/src/choice.rs
+++ b/handout/src/choice.rs
@@ -74,6 +74,17 @@
         Handout { plain: true, ..Handout::new(lives, 1, (0, 0), 0.0) }
     }
 
+    /// So many queries of a class came to a server from an address since a time. It may use the server without
+    /// leave: an answer that has run out, or that somebody else got.
+    pub fn met(&mut self, server: Address, host: Ipv4Addr, class: u16, queries: f64, since: f64, now: f64) {
+        if self.plain || queries <= 0.0 {
+            return;
+        }
+        self.hosts.count(host, class, queries, now);
+        let worth = queries / (now - since).max(f64::MIN_POSITIVE);
+        self.ledger.met((host, class), &server, worth, since, now);
+    }
+
     /// The cold servers of now, and what the tables give each of those who ask here, queries a second.
     pub fn spare(&mut self, cold: BTreeMap<Address, f64>, now: f64) {
         self.cold = cold;
@@ -135,7 +146,8 @@
         }
         self.reach_two_zones(&mut drawn, view.index, zone_of, &mut chance);
         let lifetime = if is_near { self.lives.short } else { self.lives.long };
-        let until = now + f64::from(lifetime) + self.lives.overstay;
+        let overstay = self.lives.overstay.max(self.ledger.late(who.host, who.class));
+        let until = now + f64::from(lifetime) + overstay;
         let servers: Vec<Address> = drawn.iter().map(|line| line.server).collect();
         self.ledger.hand((who.host, who.class), worth, servers.iter().copied(), until, now);
         Some(Answer { servers, lifetime })
--- a/handout/src/ledger.rs
+++ b/handout/src/ledger.rs
@@ -15,6 +15,8 @@
 const WAYS: usize = 8;
 /// Servers remembered of an asker and class: the answers it may hold at once name few.
 const SERVERS: usize = 16;
+/// s; nobody is taken to keep answers for longer: ten times the longest usual lifetime of a minute.
+const LATEST: f64 = 600.0;
 
 #[derive(Clone, Copy, Debug)]
 struct Hold {
@@ -28,6 +30,9 @@
     host: Ipv4Addr,
     class: u16,
     at: f64,
+    /// s; how long it was seen to use a server past the end of its hold.
+    late: f64,
+    /// Those that have run out stay, as long as there is room, to tell who goes on.
     holds: Vec<Hold>,
 }
 
@@ -38,13 +43,48 @@
     key: (u64, u64),
     /// Askers that were forgotten while their answers lived.
     pub forgotten: u64,
+    /// Times that an asker used a server past its hold, and by how much at most, s.
+    pub overstays: u64,
+    pub latest: f64,
+}
+
+impl Entry {
+    /// It may use a server until a time; a hold that it has there already is moved.
+    fn hold(
+        &mut self,
+        servers: &mut BTreeMap<Address, Holds>,
+        server: Address,
+        weight: f64,
+        until: f64,
+        now: f64,
+    ) {
+        let holds = servers.entry(server).or_default();
+        let (mut most, mut last) = (weight, until);
+        if let Some(held) = self.holds.iter().position(|hold| hold.server == server) {
+            let old = self.holds.swap_remove(held);
+            if old.slot.end() > now {
+                holds.take(old.weight, old.slot, now);
+                // What it was thought to bring before, it may still.
+                (most, last) = (old.weight.max(weight), old.slot.end().max(until));
+            }
+        }
+        let slot = holds.add(most, last, now);
+        if self.holds.len() == SERVERS {
+            // The one that has run out longest ago gives way; where all live, the new one is not remembered.
+            let ended = |hold: &Hold| hold.slot.end();
+            let first = (0..SERVERS).min_by(|a, b| ended(&self.holds[*a]).total_cmp(&ended(&self.holds[*b])));
+            let Some(first) = first.filter(|first| ended(&self.holds[*first]) <= now) else { return };
+            self.holds.swap_remove(first);
+        }
+        self.holds.push(Hold { server, weight: most, slot });
+    }
 }
 
 impl Ledger {
     /// Remembers so many askers and classes. The key keeps outsiders from choosing whom they push out.
     pub fn new(most: usize, key: (u64, u64)) -> Self {
         let sets = vec![Vec::new(); most.div_ceil(WAYS).max(1)];
-        Ledger { servers: BTreeMap::new(), sets, key, forgotten: 0 }
+        Ledger { servers: BTreeMap::new(), sets, key, forgotten: 0, overstays: 0, latest: 0.0 }
     }
 
     fn place(&self, host: Ipv4Addr, class: u16) -> usize {
@@ -74,29 +114,44 @@
                     let lost = set.swap_remove(oldest);
                     self.forgotten += u64::from(lost.holds.iter().any(|hold| hold.slot.end() > now));
                 }
-                Entry { host, class, at: now, holds: Vec::new() }
+                Entry { host, class, at: now, late: 0.0, holds: Vec::new() }
             }
         };
         entry.at = now;
-        entry.holds.retain(|hold| hold.slot.end() > now);
         for server in servers {
-            let held = entry.holds.iter().position(|hold| hold.server == server);
-            let holds = self.servers.entry(server).or_default();
-            let (mut most, mut last) = (weight, until);
-            if let Some(held) = held {
-                let old = entry.holds.swap_remove(held);
-                holds.take(old.weight, old.slot, now);
-                // What it was thought to bring before, it may still.
-                (most, last) = (old.weight.max(weight), old.slot.end().max(until));
-            }
-            let slot = holds.add(most, last, now);
-            if entry.holds.len() < SERVERS {
-                entry.holds.push(Hold { server, weight: most, slot });
-            }
+            entry.hold(&mut self.servers, server, weight, until, now);
         }
         self.sets[place].push(entry);
     }
 
+    /// An asker brought a server so many queries a second since a time. If its hold had run out before, it keeps
+    /// answers longer than they live; what it did once it may do for as long again.
+    pub fn met(
+        &mut self,
+        (host, class): (Ipv4Addr, u16),
+        server: &Address,
+        weight: f64,
+        since: f64,
+        now: f64,
+    ) {
+        let place = self.place(host, class);
+        let found = self.sets[place].iter_mut().find(|entry| (entry.host, entry.class) == (host, class));
+        let Some(entry) = found else { return };
+        let held = entry.holds.iter().find(|hold| hold.server == *server);
+        let Some(ended) = held.map(|hold| hold.slot.end()).filter(|end| *end < since) else { return };
+        entry.late = entry.late.max(now - ended).min(LATEST);
+        self.overstays += 1;
+        self.latest = self.latest.max(entry.late);
+        let until = now + entry.late;
+        entry.hold(&mut self.servers, *server, weight, until, now);
+    }
+
+    /// How long an asker was seen to use servers past its holds, s.
+    pub fn late(&self, host: Ipv4Addr, class: u16) -> f64 {
+        let set = &self.sets[self.place(host, class)];
+        set.iter().find(|entry| (entry.host, entry.class) == (host, class)).map_or(0.0, |entry| entry.late)
+    }
+
     /// Queries a second that may come to a server by what was handed out.
     pub fn outstanding(&mut self, server: &Address, now: f64) -> f64 {
         self.servers.get_mut(server).map_or(0.0, |holds| holds.sum(now))
--- a/handout/tests/handout.rs
+++ b/handout/tests/handout.rs
@@ -261,3 +261,34 @@
     fresh.spare([(server(0), 20.0)].into(), 100.0);
     assert!(!got(&mut fresh, 0, 100.0));
 }
+
+/// A resolver keeps answers ten times their lifetime: servers' counters show it, and from then on its holds count for
+/// as long; one that keeps to its answers is not taken for late.
+#[test]
+fn who_overstays_is_found_out() {
+    let mut ledger = Ledger::new(64, (1, 2));
+    let (late, fair) = ((host(1), 0), (host(2), 0));
+    for who in [late, fair] {
+        ledger.hand(who, 5.0, [server(0)].into_iter(), 102.0, 100.0);
+    }
+    let mut now = 100.0;
+    for _ in 0..12 {
+        now += 1.0;
+        ledger.met(late, &server(0), 5.0, now - 1.0, now);
+        if now <= 103.0 {
+            ledger.met(fair, &server(0), 5.0, now - 1.0, now);
+        }
+    }
+    assert_eq!(ledger.late(fair.0, 0), 0.0);
+    assert!(ledger.late(late.0, 0) > 1.0, "{}", ledger.late(late.0, 0));
+    assert!(ledger.overstays >= 1 && ledger.latest < 20.0, "{} {}", ledger.overstays, ledger.latest);
+    assert!(ledger.outstanding(&server(0), now) >= 5.0, "what it goes on with still counts");
+    // It stops: within as long again as it was late, nothing is held any more.
+    let until = ledger.until(&server(0), now).unwrap();
+    assert!(until - now < 2.0 * ledger.latest, "{until} {now}");
+    assert_eq!(ledger.outstanding(&server(0), until), 0.0);
+    // A stranger, or a server that it was never handed: nothing to tell by.
+    ledger.met((host(9), 0), &server(0), 5.0, now - 1.0, now);
+    ledger.met(fair, &server(3), 5.0, now - 1.0, now);
+    assert_eq!(ledger.late(fair.0, 0), 0.0);
+}
--- a/pilot/src/handing.rs
+++ b/pilot/src/handing.rs
@@ -34,8 +34,8 @@
     /// Takes in what came in a round: who brought how much.
     pub fn hear(&mut self, round: &Round, sums: &mut Sums) {
         let clients = std::mem::take(&mut sums.clients);
-        for ((host, class), queries) in clients.into_iter().filter(|_| self.keeps) {
-            self.handout.hosts.count(host, u16::from(class), queries, round.now);
+        for ((server, host, class), (queries, span)) in clients.into_iter().filter(|_| self.keeps) {
+            self.handout.met(server, host, u16::from(class), queries, round.now - span, round.now);
         }
         for one in round.queries.iter().filter(|one| one.span > 0.0) {
             self.rates.insert((one.proxy, one.class), one.came / one.span);
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -83,6 +83,13 @@
         );
         measure(r, "ledger_askers", "Askers and classes remembered", handout.ledger.remembered() as f64);
         count(r, "ledger_forgotten", "Askers forgotten while their answers lived", handout.ledger.forgotten);
+        count(
+            r,
+            "ledger_overstays",
+            "Times an asker used a server past its answer's end",
+            handout.ledger.overstays,
+        );
+        measure(r, "ledger_latest_seconds", "The longest that anybody did", handout.ledger.latest);
         count(r, "ledger_passed_over", "Times a cold server was passed over", handout.counts.passed_over);
         count(
             r,
--- a/reports/src/sums.rs
+++ b/reports/src/sums.rs
@@ -35,8 +35,8 @@
     classes: Vec<String>,
     met: BTreeMap<(Address, u16), Met>,
     came: BTreeMap<(u16, u8), (f64, f64)>,
-    /// Queries by client address and class, of those who come without a proxy.
-    pub clients: BTreeMap<(Ipv4Addr, u8), f64>,
+    /// Queries of those who come without a proxy, by server, client address and class, and the time they came in.
+    pub clients: BTreeMap<(Address, Ipv4Addr, u8), (f64, f64)>,
     /// The last figures of queries in flight that servers gave.
     pub in_flight: BTreeMap<Address, f64>,
     /// Samples with labels that name nothing known.
@@ -129,7 +129,8 @@
                 match self.class(sample) {
                     Some(class) => {
                         self.add_queries(owner.asker, class, amount, span);
-                        *self.clients.entry((client, class)).or_default() += amount;
+                        let came = self.clients.entry((server, client, class)).or_default();
+                        *came = (came.0 + amount, span.max(came.1));
                     }
                     None => self.strange += 1,
                 }
--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -164,6 +164,7 @@
             }
             let (asker, number) = (self.host, class as u8);
             world.record.note(Event::Answer { asker, class: number, lines: lines.clone() });
+            let lifetime = if self.resolver { lifetime * world.script.keep } else { lifetime };
             self.held.borrow_mut()[class] = Held { lines, until: world.now() + lifetime };
             return true;
         }
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -39,6 +39,9 @@
     /// The first terminal of each zone is a resolver that hands its answers on to so many.
     #[serde(default = "one")]
     pub resolver: f64,
+    /// Times their lifetime that resolvers keep answers.
+    #[serde(default = "one")]
+    pub keep: f64,
     /// The pilot keeps a ledger of what it hands out.
     #[serde(default)]
     pub ledger: bool,
