--- a/handout/src/choice.rs
+++ b/handout/src/choice.rs
@@ -10,6 +10,9 @@
 /// Times the mean of those who are known that somebody new may be worth: most are near it, few are far above.
 const NEWCOMER: f64 = 2.0;
 
+/// Draws that may hit what does not fit, until all lines are walked through.
+const TRIES: usize = 8;
+
 /// Who asks for what.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Who {
@@ -51,6 +54,8 @@
     spreads: HashMap<(u16, u16), Spread>,
     /// Queries a second that each cold server may be brought by answers.
     cold: BTreeMap<Address, f64>,
+    /// By table: whether its lines, as of a version, name a cold server; forgotten when the cold ones change.
+    near: HashMap<u16, (u64, bool)>,
     lives: Lives,
     /// s; until then somebody else's answers may be out there.
     unknown_until: f64,
@@ -63,10 +68,10 @@
     /// Remembers so many askers; the key is the ledger's. What others handed out before `start` is assumed to be in
     /// use as long as anything could be: cold servers get nothing until then.
     pub fn new(lives: Lives, most: usize, key: (u64, u64), start: f64) -> Self {
-        let (spreads, cold, counts) = Default::default();
+        let (spreads, cold, near, counts) = Default::default();
         let unknown_until = start + f64::from(lives.long) + lives.overstay;
         let (ledger, hosts) = (Ledger::new(most, key), Hosts::new(most));
-        Handout { ledger, hosts, spreads, cold, lives, unknown_until, plain: false, counts }
+        Handout { ledger, hosts, spreads, cold, near, lives, unknown_until, plain: false, counts }
     }
 
     /// Without a ledger: draws by weight, and nothing else.
@@ -88,6 +93,7 @@
     /// The cold servers of now, and what the tables give each of those who ask here, queries a second.
     pub fn spare(&mut self, cold: BTreeMap<Address, f64>, now: f64) {
         self.cold = cold;
+        self.near.clear();
         self.ledger.expire(now);
     }
 
@@ -139,8 +145,7 @@
             return Some(Answer { servers, lifetime: self.lives.long });
         }
         let worth = self.worth(who, now);
-        let is_near =
-            !self.cold.is_empty() && view.index.lines().iter().any(|l| self.cold.contains_key(&l.server));
+        let is_near = self.is_near(view);
         if is_near {
             self.pass_over(&mut drawn, view.index, who, worth, now, &mut chance);
         }
@@ -153,6 +158,19 @@
         Some(Answer { servers, lifetime })
     }
 
+    /// Whether a table names a cold server.
+    fn is_near(&mut self, view: &View) -> bool {
+        if self.cold.is_empty() {
+            return false;
+        }
+        if let Some((_, near)) = self.near.get(&view.table).filter(|(version, _)| *version == view.version) {
+            return *near;
+        }
+        let near = view.index.lines().iter().any(|line| self.cold.contains_key(&line.server));
+        self.near.insert(view.table, (view.version, near));
+        near
+    }
+
     /// Puts others in the place of cold servers that have no room for this asker.
     fn pass_over(
         &mut self,
@@ -168,15 +186,24 @@
         drawn.retain(|line| self.left(&line.server, who, worth, now).is_none_or(|left| left >= 0.0));
         self.counts.passed_over += (most - drawn.len()) as u64;
         while drawn.len() < most {
-            let others = index.lines().iter().filter(|line| !before.iter().any(|b| b.server == line.server));
-            let others = others.filter(|line| !drawn.iter().any(|d| d.server == line.server));
-            let mut open = Vec::new();
-            for line in others {
-                if self.left(&line.server, who, worth, now).is_none_or(|left| left >= 0.0) {
-                    open.push((line.server, line.weight));
+            // Those that were drawn before had no room, or are there already.
+            let mut fits = |line: &Line, drawn: &[Line]| {
+                let seen = before.iter().chain(drawn).any(|other| other.server == line.server);
+                !seen && self.left(&line.server, who, worth, now).is_none_or(|left| left >= 0.0)
+            };
+            let mut found = None;
+            for _ in 0..TRIES {
+                found = index.at(chance()).copied().filter(|line| fits(line, drawn));
+                if found.is_some() {
+                    break;
                 }
             }
-            let Some(next) = Index::of(open).at(chance()).copied() else { break };
+            if found.is_none() {
+                let open = index.lines().iter().filter(|line| fits(line, drawn));
+                let open: Vec<(Address, f64)> = open.map(|line| (line.server, line.weight)).collect();
+                found = Index::of(open).at(chance()).copied();
+            }
+            let Some(next) = found else { break };
             drawn.push(next);
         }
         if drawn.is_empty() {
--- a/handout/src/holds.rs
+++ b/handout/src/holds.rs
@@ -17,19 +17,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Slot {
     level: u8,
-    number: u64,
+    /// Seventeen years of the finest slots.
+    number: u32,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Level {
     /// The number of the first slot, and the sums of it and those after it.
-    first: u64,
+    first: u32,
     sums: VecDeque<f64>,
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Holds {
     levels: Vec<Level>,
+    /// s; nothing runs out before.
+    next: f64,
 }
 
 fn width(level: usize) -> f64 {
@@ -41,12 +44,12 @@
     fn of(until: f64, now: f64) -> Slot {
         let fits = |level: &usize| (until - now) / width(*level) <= (SLOTS - 1) as f64;
         let level = (0..LEVELS).find(fits).unwrap_or(LEVELS - 1);
-        Slot { level: level as u8, number: (until / width(level)).ceil().max(0.0) as u64 }
+        Slot { level: level as u8, number: (until / width(level)).ceil() as u32 }
     }
 
     /// When it has run out, s.
     pub fn end(&self) -> f64 {
-        self.number as f64 * width(usize::from(self.level))
+        f64::from(self.number) * width(usize::from(self.level))
     }
 }
 
@@ -88,12 +91,17 @@
     }
 
     fn expire(&mut self, now: f64) {
+        if now < self.next {
+            return;
+        }
         for (place, level) in self.levels.iter_mut().enumerate() {
-            while !level.sums.is_empty() && level.first as f64 * width(place) <= now {
+            while !level.sums.is_empty() && f64::from(level.first) * width(place) <= now {
                 level.sums.pop_front();
                 level.first += 1;
             }
         }
+        // Ends are whole numbers of the finest slot.
+        self.next = ((now / FINEST).floor() + 1.0) * FINEST;
     }
 
     /// Queries a second that are held now.
@@ -107,7 +115,7 @@
         self.expire(now);
         let last = |(place, level): (usize, &Level)| {
             let last = level.sums.iter().rposition(|held| *held > 0.0)?;
-            Some((level.first + last as u64) as f64 * width(place))
+            Some(f64::from(level.first + last as u32) * width(place))
         };
         self.levels.iter().enumerate().filter_map(last).max_by(f64::total_cmp)
     }
--- a/handout/src/ledger.rs
+++ b/handout/src/ledger.rs
@@ -5,26 +5,33 @@
 //! older answer has run out: too high, never too low.
 
 use crate::holds::{Holds, Slot};
+use arrayvec::ArrayVec;
 use oatlever::round::Address;
 use siphasher::sip::SipHasher13;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::hash::Hasher;
 use std::net::Ipv4Addr;
 
 /// Places of a set.
 const WAYS: usize = 8;
 /// Servers remembered of an asker and class: the answers it may hold at once name few.
-const SERVERS: usize = 16;
+const SERVERS: usize = 8;
 /// s; nobody is taken to keep answers for longer: ten times the longest usual lifetime of a minute.
 const LATEST: f64 = 600.0;
 
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     server: Address,
-    weight: f64,
+    /// Rounded up: a third of the memory of an asker is its weights.
+    weight: f32,
     slot: Slot,
 }
 
+/// No less than this.
+fn rounded(weight: f64) -> f32 {
+    (weight as f32).next_up()
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     host: Ipv4Addr,
@@ -33,12 +40,12 @@
     /// s; how long it was seen to use a server past the end of its hold.
     late: f64,
     /// Those that have run out stay, as long as there is room, to tell who goes on.
-    holds: Vec<Hold>,
+    holds: ArrayVec<Hold, SERVERS>,
 }
 
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    servers: BTreeMap<Address, Holds>,
+    servers: HashMap<Address, Holds>,
     sets: Vec<Vec<Entry>>,
     key: (u64, u64),
     /// Askers that were forgotten while their answers lived.
@@ -52,23 +59,28 @@
     /// It may use a server until a time; a hold that it has there already is moved.
     fn hold(
         &mut self,
-        servers: &mut BTreeMap<Address, Holds>,
+        servers: &mut HashMap<Address, Holds>,
         server: Address,
         weight: f64,
         until: f64,
         now: f64,
     ) {
+        let (mut most, mut last) = (rounded(weight), until);
+        let held = self.holds.iter().position(|hold| hold.server == server);
+        let old = held.map(|held| self.holds[held]).filter(|old| old.slot.end() > now);
+        if old.is_some_and(|old| old.slot.end() >= until && old.weight >= most) {
+            return;
+        }
         let holds = servers.entry(server).or_default();
-        let (mut most, mut last) = (weight, until);
-        if let Some(held) = self.holds.iter().position(|hold| hold.server == server) {
-            let old = self.holds.swap_remove(held);
-            if old.slot.end() > now {
-                holds.take(old.weight, old.slot, now);
-                // What it was thought to bring before, it may still.
-                (most, last) = (old.weight.max(weight), old.slot.end().max(until));
-            }
+        if let Some(old) = old {
+            holds.take(f64::from(old.weight), old.slot, now);
+            // What it was thought to bring before, it may still.
+            (most, last) = (old.weight.max(most), old.slot.end().max(until));
+        }
+        if let Some(held) = held {
+            self.holds.swap_remove(held);
         }
-        let slot = holds.add(most, last, now);
+        let slot = holds.add(f64::from(most), last, now);
         if self.holds.len() == SERVERS {
             // The one that has run out longest ago gives way; where all live, the new one is not remembered.
             let ended = |hold: &Hold| hold.slot.end();
@@ -84,7 +96,7 @@
     /// Remembers so many askers and classes. The key keeps outsiders from choosing whom they push out.
     pub fn new(most: usize, key: (u64, u64)) -> Self {
         let sets = vec![Vec::new(); most.div_ceil(WAYS).max(1)];
-        Ledger { servers: BTreeMap::new(), sets, key, forgotten: 0, overstays: 0, latest: 0.0 }
+        Ledger { servers: HashMap::new(), sets, key, forgotten: 0, overstays: 0, latest: 0.0 }
     }
 
     fn place(&self, host: Ipv4Addr, class: u16) -> usize {
@@ -114,7 +126,7 @@
                     let lost = set.swap_remove(oldest);
                     self.forgotten += u64::from(lost.holds.iter().any(|hold| hold.slot.end() > now));
                 }
-                Entry { host, class, at: now, late: 0.0, holds: Vec::new() }
+                Entry { host, class, at: now, late: 0.0, holds: ArrayVec::new() }
             }
         };
         entry.at = now;
@@ -162,7 +174,7 @@
         let set = &self.sets[self.place(host, class)];
         let entry = set.iter().find(|entry| (entry.host, entry.class) == (host, class));
         let hold = entry.and_then(|entry| entry.holds.iter().find(|hold| hold.server == *server));
-        hold.filter(|hold| hold.slot.end() > now).map_or(0.0, |hold| hold.weight)
+        hold.filter(|hold| hold.slot.end() > now).map_or(0.0, |hold| f64::from(hold.weight))
     }
 
     /// When the last holder of a server has let go, s.
--- a/tables/src/index.rs
+++ b/tables/src/index.rs
@@ -56,6 +56,15 @@
         let mut drawn = vec![*first];
         let mut left = self.all() - first.weight;
         while drawn.len() < most.min(self.lines.len()) {
+            // A draw from all that is thrown away where it hits one drawn before is a draw from what is left; where
+            // the drawn ones weigh nearly everything it would be thrown away for long.
+            let fresh = |line: &&Line| !drawn.iter().any(|d| d.server == line.server);
+            let found = (0..TRIES).find_map(|_| self.at(chance()).copied().filter(|line| fresh(&line)));
+            if let Some(line) = found {
+                left -= line.weight;
+                drawn.push(line);
+                continue;
+            }
             let mut target = chance() * left;
             let open = self.lines.iter().filter(|line| !drawn.iter().any(|d| d.server == line.server));
             let mut found = None;
@@ -74,6 +83,9 @@
     }
 }
 
+/// Draws that may hit one drawn before, until what is left is walked through.
+const TRIES: usize = 8;
+
 /// Parts from 0 to 1 that spread evenly however many are taken: steps by the golden section.
 #[derive(Clone, Copy, Debug)]
 pub struct Spread(f64);
