--- a/benches/src/ledgers.rs
+++ b/benches/src/ledgers.rs
@@ -88,7 +88,7 @@
         };
         let ours = measured(Ledger::new(MOST, (1, 2)), |ledger, n| {
             let (host, servers, now) = ask(n);
-            ledger.hand((host, 0), 1.0, servers.clone(), now + HELD, now);
+            ledger.hand((host, 0), 1.0, servers.clone(), (now, HELD), now);
             servers.for_each(|server| _ = black_box(ledger.outstanding(&server, now)));
         });
         let plain = measured(Plain::default(), |plain, n| {
--- a/handout/src/choice.rs
+++ b/handout/src/choice.rs
@@ -151,10 +151,9 @@
         }
         self.reach_two_zones(&mut drawn, view.index, zone_of, &mut chance);
         let lifetime = if is_near { self.lives.short } else { self.lives.long };
-        let overstay = self.lives.overstay.max(self.ledger.late(who.host, who.class));
-        let until = now + f64::from(lifetime) + overstay;
+        let ends = (now + f64::from(lifetime), self.lives.overstay);
         let servers: Vec<Address> = drawn.iter().map(|line| line.server).collect();
-        self.ledger.hand((who.host, who.class), worth, servers.iter().copied(), until, now);
+        self.ledger.hand((who.host, who.class), worth, servers.iter().copied(), ends, now);
         Some(Answer { servers, lifetime })
     }
 
--- a/handout/src/ledger.rs
+++ b/handout/src/ledger.rs
@@ -106,34 +106,36 @@
         (hasher.finish() % self.sets.len() as u64) as usize
     }
 
-    /// An asker that brings so many queries a second of a class may use these servers until a time.
+    /// An asker that brings so many queries a second of a class may use these servers until an answer's lifetime has
+    /// ended, and past that as long as others or it itself were seen to.
     pub fn hand(
         &mut self,
         (host, class): (Ipv4Addr, u16),
         weight: f64,
         servers: impl Iterator<Item = Address>,
-        until: f64,
+        (end, overstay): (f64, f64),
         now: f64,
     ) {
         let place = self.place(host, class);
         let set = &mut self.sets[place];
+        let fresh = || Entry { host, class, at: now, late: 0.0, holds: ArrayVec::new() };
         let found = set.iter().position(|entry| (entry.host, entry.class) == (host, class));
-        let mut entry = match found {
-            Some(found) => set.swap_remove(found),
-            None => {
-                if set.len() == WAYS {
-                    let oldest = (0..WAYS).min_by(|a, b| set[*a].at.total_cmp(&set[*b].at)).unwrap_or(0);
-                    let lost = set.swap_remove(oldest);
-                    self.forgotten += u64::from(lost.holds.iter().any(|hold| hold.slot.end() > now));
-                }
-                Entry { host, class, at: now, late: 0.0, holds: ArrayVec::new() }
+        let found = found.unwrap_or_else(|| {
+            if set.len() < WAYS {
+                set.push(fresh());
+                return set.len() - 1;
             }
-        };
+            let oldest = (0..WAYS).min_by(|a, b| set[*a].at.total_cmp(&set[*b].at)).unwrap_or(0);
+            self.forgotten += u64::from(set[oldest].holds.iter().any(|hold| hold.slot.end() > now));
+            set[oldest] = fresh();
+            oldest
+        });
+        let entry = &mut set[found];
         entry.at = now;
+        let until = end + overstay.max(entry.late);
         for server in servers {
             entry.hold(&mut self.servers, server, weight, until, now);
         }
-        self.sets[place].push(entry);
     }
 
     /// An asker brought a server so many queries a second since a time. If its hold had run out before, it keeps
--- a/handout/tests/handout.rs
+++ b/handout/tests/handout.rs
@@ -105,7 +105,7 @@
             let (who, weight) = (chance.u32(..600), 0.1 + chance.f64());
             let lasts = if chance.u8(..10) == 0 { 15.0 } else { 1.5 };
             let servers: BTreeSet<u8> = (0..3).map(|_| chance.u8(..8)).collect();
-            ledger.hand((host(who), 0), weight, servers.iter().map(|n| server(*n)), now + lasts, now);
+            ledger.hand((host(who), 0), weight, servers.iter().map(|n| server(*n)), (now, lasts), now);
             exact.extend(servers.iter().map(|n| (who, *n, now + lasts, weight)));
             exact.retain(|(_, _, until, _)| *until > now);
             let n = chance.u8(..8);
@@ -269,7 +269,7 @@
     let mut ledger = Ledger::new(64, (1, 2));
     let (late, fair) = ((host(1), 0), (host(2), 0));
     for who in [late, fair] {
-        ledger.hand(who, 5.0, [server(0)].into_iter(), 102.0, 100.0);
+        ledger.hand(who, 5.0, [server(0)].into_iter(), (101.0, 1.0), 100.0);
     }
     let mut now = 100.0;
     for _ in 0..12 {
