--- a/standins/src/cost.rs
+++ b/standins/src/cost.rs
@@ -22,6 +22,8 @@
     pub best: f64,
     /// The most work that came to a zone's servers in a window, over what they could do.
     pub fullest: f64,
+    /// The same of one server.
+    pub fullest_server: f64,
     pub rows: Vec<Row>,
 }
 
@@ -52,7 +54,7 @@
     /// Queries begun, by the zone that they came from and the zone that they ran in.
     ran: BTreeMap<(usize, usize), f64>,
     /// Seconds of work that came, by zone.
-    work: BTreeMap<usize, f64>,
+    work: BTreeMap<Ipv4Addr, f64>,
     answered: f64,
     asked: f64,
 }
@@ -69,7 +71,7 @@
     let mut windows: BTreeMap<u64, Window> = BTreeMap::new();
     // By server: since when it runs, and whether it started cold; and what it could do in each window.
     let mut running: BTreeMap<Ipv4Addr, (f64, bool)> = BTreeMap::new();
-    let mut could: BTreeMap<u64, BTreeMap<usize, f64>> = BTreeMap::new();
+    let mut could: BTreeMap<u64, BTreeMap<Ipv4Addr, f64>> = BTreeMap::new();
     let mut next = 0;
     for Entry { at, event } in entries {
         while *at >= (next as f64 + 0.5) * WINDOW {
@@ -78,8 +80,7 @@
                 let share = script.cold_share;
                 let warmed = ((middle - since) / script.warm_within).clamp(0.0, 1.0);
                 let part = if *cold { share + (1.0 - share) * warmed } else { 1.0 };
-                *could.entry(next).or_default().entry(zone(*server)).or_default() +=
-                    part * script.cores as f64;
+                could.entry(next).or_default().insert(*server, part * script.cores as f64);
             }
             next += 1;
         }
@@ -89,7 +90,7 @@
             Event::Stopped { server } | Event::Fell { server } => drop(running.remove(server)),
             Event::Arrival { asker, server, query, work, .. } => {
                 asked.insert(*query, *asker);
-                *window.work.entry(zone(*server)).or_default() += work;
+                *window.work.entry(*server).or_default() += work;
             }
             Event::Ended { asked, answered, .. } => {
                 window.asked += asked;
@@ -108,7 +109,17 @@
     let work = script.classes.iter().map(|class| class.part * class.work).sum::<f64>() / parts;
     let mut cost = Cost::default();
     for (place, window) in windows.into_iter().filter(|(place, _)| *place > 0 && *place < last) {
-        let could = could.remove(&place).unwrap_or_default();
+        let servers = could.remove(&place).unwrap_or_default();
+        let sums = |of: &BTreeMap<Ipv4Addr, f64>| {
+            let mut sums: BTreeMap<usize, f64> = BTreeMap::new();
+            of.iter().for_each(|(server, amount)| *sums.entry(zone(*server)).or_default() += amount);
+            sums
+        };
+        let (could, work_of) = (sums(&servers), sums(&window.work));
+        for (server, most) in &servers {
+            let came = window.work.get(server).copied().unwrap_or(0.0);
+            cost.fullest_server = cost.fullest_server.max(came / (most * WINDOW));
+        }
         let zones = prices.zones.len();
         let demand = |from| window.ran.iter().filter(|((f, _), _)| *f == from).map(|(_, n)| n / WINDOW).sum();
         let model = Model {
@@ -135,7 +146,7 @@
         let best = best.map_or(paid, |plan| plan.cost * WINDOW);
         let full = (0..zones).map(|zone| {
             let most = could.get(&zone).copied().unwrap_or(0.0) * WINDOW;
-            let work = window.work.get(&zone).copied().unwrap_or(0.0);
+            let work = work_of.get(&zone).copied().unwrap_or(0.0);
             if most > 0.0 {
                 work / most
             } else {
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -127,7 +127,8 @@
     if let Some(cost) = cost::of(script, entries) {
         let (paid, best, over) = (cost.paid, cost.best, cost.over());
         println!("cost {paid:.1}   best after the fact {best:.1}   over it {over:.2}%");
-        println!("fullest zone: {:.2} of what it can do", cost.fullest);
+        let fullest = (cost.fullest, cost.fullest_server);
+        println!("fullest zone: {:.2} of what it can do, fullest server: {:.2}", fullest.0, fullest.1);
     }
     for (rule, what) in &verdict.broken {
         println!("rule {rule} broken: {what}");
