--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -203,7 +203,9 @@
         let fits = if let Outcome::Nearest { fits, .. } = outcome { fits } else { 1.0 };
         let relief = &mut self.tables.entry(table).or_default().relief;
         let mut follows = relief.unwrap_or(Relief::none(state.now));
-        follows.follow(fits, state.failing, state.now);
+        // What failed long ago refuses nobody now: reports may have stopped under way.
+        let fresh = state.now - state.measured_at <= self.figures.answers_within;
+        follows.follow(fits, if fresh { state.failing } else { 0.0 }, state.now);
         *relief = Some(follows).filter(|relief| relief.part < 1.0);
         let verdict = Verdict { table, at: state.now, findings, outcome };
         self.note(&verdict);
--- a/guard/tests/guard.rs
+++ b/guard/tests/guard.rs
@@ -581,6 +581,11 @@
     over.failing = 0.2;
     guard.judge(&over, 0, &wrong);
     assert_eq!(levels(&guard), Some(vec![0.2, 1.0]));
+    // Reports stop: what failed before them refuses nobody any more.
+    let mut silent = guard.clone();
+    let late = State { now: 1030.0, ..over.clone() };
+    silent.judge(&late, 0, &wrong);
+    assert_eq!(levels(&silent), None);
     // The demand is gone: 0.05 a second more.
     (over.now, over.measured_at, over.failing) = (1004.0, 1004.0, 0.0);
     over.demand.insert(0, 10.0);
