Look up what an asker is worth once, and keep the sum of all counts

The mean of all askers' counts was added up anew for each question of somebody new: work that grows with the askers remembered, for every packet of a flood. It is a running sum now, checked against a recount. An asker was looked up twice for its worth and by two copies of one search in the ledger. The guard's levels were wrapped a second time; flows by way were added up in two places.

--- a/cost/src/carry.rs
+++ b/cost/src/carry.rs
@@ -71,8 +71,8 @@
 }
 
 impl Carry {
-    /// `stated` is what the operators say that a unit of weight carries at most, queries a second; `due_time` the tightest of all
-    /// classes, s.
+    /// `stated` is what the operators say that a unit of weight carries at most, queries a second; `due_time` the
+    /// tightest of all classes, s.
     pub fn new(stated: Option<f64>, due_time: Option<f64>) -> Self {
         let most_time = due_time.map_or(f64::INFINITY, |due_time| due_time * LATE);
         Carry { stated, most_time, first: stated, figure: stated, ..Carry::default() }
--- a/cost/src/plan.rs
+++ b/cost/src/plan.rs
@@ -75,10 +75,7 @@
 impl<'a> Network<'a> {
     fn of(model: &'a Model, before: Option<Steady>, patience: f64) -> Self {
         let sources = model.sources();
-        let mut held: BTreeMap<(Source, usize), f64> = BTreeMap::new();
-        for flow in before.iter().flat_map(|before| before.flows) {
-            *held.entry((flow.source, flow.pool)).or_default() += flow.work;
-        }
+        let held = before.map_or_else(BTreeMap::new, |before| by_way(before.flows));
         let more = before.map_or(0.0, |before| before.price);
         let prices =
             sources.iter().flat_map(|(source, _)| (0..model.pools.len()).map(|p| model.price(*source, p)));
@@ -245,10 +242,15 @@
     })
 }
 
+fn by_way(flows: &[Flow]) -> BTreeMap<(Source, usize), f64> {
+    let mut held = BTreeMap::new();
+    flows.iter().for_each(|flow| *held.entry((flow.source, flow.pool)).or_default() += flow.work);
+    held
+}
+
 /// Work a second that some flows bring where others did not.
 pub fn moved(before: &[Flow], after: &[Flow]) -> f64 {
-    let mut held: BTreeMap<(Source, usize), f64> = BTreeMap::new();
-    before.iter().for_each(|flow| *held.entry((flow.source, flow.pool)).or_default() += flow.work);
+    let held = by_way(before);
     let more = |flow: &Flow| flow.work - held.get(&(flow.source, flow.pool)).copied().unwrap_or(0.0);
     after.iter().map(|flow| more(flow).max(0.0)).sum()
 }
@@ -261,10 +263,7 @@
 
     /// Work a second that a pool is asked for.
     pub fn load(&self, pool: usize) -> f64 {
-        self.flows
-            .iter()
-            .filter(|flow| flow.pool == pool)
-            .map(|flow| flow.work)
-            .fold(0.0, |sum, work| sum + work)
+        // The sum of nothing is -0.
+        self.flows.iter().filter(|flow| flow.pool == pool).map(|flow| flow.work).sum::<f64>() + 0.0
     }
 }
--- a/guard/src/guard.rs
+++ b/guard/src/guard.rs
@@ -256,12 +256,6 @@
         held.zones = zones(state, lines);
     }
 
-    /// Levels by class that may be let in of a table's queries, where not all of them fit and tries fail; the
-    /// classes' benefits and what came of them to the table's users go in.
-    pub fn levels(&self, table: u16, benefit: &[f64], demand: &[f64]) -> Option<Vec<f64>> {
-        self.relief(table).map(|relief| relief.levels(benefit, demand))
-    }
-
     /// The part of a table's queries that is let in, where it is less than all.
     pub fn relief(&self, table: u16) -> Option<&Relief> {
         self.tables.get(&table)?.relief.as_ref().filter(|_| self.mode == Mode::Enforce)
--- a/guard/tests/guard.rs
+++ b/guard/tests/guard.rs
@@ -575,7 +575,7 @@
     over.demand.remove(&1);
     let wrong = lines(&[(0, 9.0), (1, 1.0), (2, 1.0), (3, 1.0)]);
     let mut guard = guard(&over, &even(0..4));
-    let levels = |guard: &Guard| guard.levels(0, &[1.0, 2.0], &[100.0, 60.0]);
+    let levels = |guard: &Guard| guard.relief(0).map(|r| r.levels(&[1.0, 2.0], &[100.0, 60.0]));
     assert!(matches!(guard.judge(&over, 0, &wrong).0.outcome, Outcome::Nearest { fits: 0.5, .. }));
     assert_eq!(levels(&guard), None);
     over.failing = 0.2;
--- a/handout/src/choice.rs
+++ b/handout/src/choice.rs
@@ -112,13 +112,12 @@
 
     /// Queries a second that an asker brings at most, as far as anybody knows.
     fn worth(&self, who: Who, now: f64) -> f64 {
-        let known = self.hosts.weight(who.host, who.class, now);
-        if self.hosts.is_known(who.host, who.class) {
-            return known.unwrap_or(0.0);
+        if let Some(own) = self.hosts.own(who.host, who.class, now) {
+            return own;
         }
         // Before anybody is known, one may be all of them.
         let unsure = if self.hosts.known() == 0 { who.group } else { NEWCOMER * self.hosts.mean(now) };
-        known.unwrap_or(0.0).max(unsure)
+        self.hosts.lightest(now).unwrap_or(0.0).max(unsure)
     }
 
     /// What a cold server has left for an asker of this worth; none for a warm one.
--- a/handout/src/hosts.rs
+++ b/handout/src/hosts.rs
@@ -23,6 +23,8 @@
     /// Counts as of `since`: later ones weigh more, so that none has to fade.
     counts: HashMap<Key, f64>,
     order: Order,
+    /// Of all counts.
+    sum: f64,
     since: f64,
     now: f64,
 }
@@ -31,7 +33,7 @@
     /// With so many counters.
     pub fn new(most: usize) -> Self {
         let (counts, order) = Default::default();
-        Hosts { most: most.max(1), counts, order, since: 0.0, now: 0.0 }
+        Hosts { most: most.max(1), counts, order, sum: 0.0, since: 0.0, now: 0.0 }
     }
 
     fn scale(&self, now: f64) -> f64 {
@@ -60,6 +62,8 @@
                 f64::from_bits(count)
             }
         };
+        // Whoever took a counter took what it counted, so that the sum has just grown.
+        self.sum += more;
         self.counts.insert(host, old + more);
         self.order.insert(((old + more).to_bits(), host));
     }
@@ -72,20 +76,23 @@
             *count /= scale;
             *count > f64::MIN_POSITIVE
         });
+        self.sum = self.counts.values().sum();
         self.order = self.counts.iter().map(|(host, count)| (count.to_bits(), *host)).collect();
     }
 
-    /// Queries a second of an address at most; none where nothing is known of it.
-    pub fn weight(&self, host: Ipv4Addr, class: u16, now: f64) -> Option<f64> {
-        let rate = |count: f64| count / self.scale(now.max(self.now)) / SPAN;
-        let full = self.counts.len() == self.most;
-        let lightest = self.order.first().filter(|_| full).map(|(count, _)| f64::from_bits(*count));
-        self.counts.get(&(host, class)).copied().or(lightest).map(rate)
+    fn rate(&self, count: f64, now: f64) -> f64 {
+        count / self.scale(now.max(self.now)) / SPAN
     }
 
-    /// Whether an address has a counter of its own.
-    pub fn is_known(&self, host: Ipv4Addr, class: u16) -> bool {
-        self.counts.contains_key(&(host, class))
+    /// Queries a second of an address with a counter of its own, at most.
+    pub fn own(&self, host: Ipv4Addr, class: u16, now: f64) -> Option<f64> {
+        self.counts.get(&(host, class)).map(|count| self.rate(*count, now))
+    }
+
+    /// Queries a second of an address without one, at most; none where there are counters for everybody.
+    pub fn lightest(&self, now: f64) -> Option<f64> {
+        let first = self.order.first().filter(|_| self.counts.len() == self.most);
+        first.map(|(count, _)| self.rate(f64::from_bits(*count), now))
     }
 
     /// Addresses with a counter.
@@ -95,7 +102,6 @@
 
     /// Queries a second of an address with a counter, on average.
     pub fn mean(&self, now: f64) -> f64 {
-        let all: f64 = self.counts.values().sum::<f64>() / self.scale(now.max(self.now)) / SPAN;
-        all / self.counts.len().max(1) as f64
+        self.rate(self.sum, now) / self.counts.len().max(1) as f64
     }
 }
--- a/handout/src/ledger.rs
+++ b/handout/src/ledger.rs
@@ -163,10 +163,14 @@
         entry.hold(&mut self.servers, *server, weight, (until, due), now);
     }
 
+    fn entry(&self, host: Ipv4Addr, class: u16) -> Option<&Entry> {
+        let set = &self.sets[self.place(host, class)];
+        set.iter().find(|entry| (entry.host, entry.class) == (host, class))
+    }
+
     /// How long an asker was seen to use servers past its holds, s.
     pub fn late(&self, host: Ipv4Addr, class: u16) -> f64 {
-        let set = &self.sets[self.place(host, class)];
-        set.iter().find(|entry| (entry.host, entry.class) == (host, class)).map_or(0.0, |entry| entry.late)
+        self.entry(host, class).map_or(0.0, |entry| entry.late)
     }
 
     /// Queries a second that may come to a server by what was handed out.
@@ -176,9 +180,8 @@
 
     /// What of that an asker holds already.
     pub fn own(&self, host: Ipv4Addr, class: u16, server: &Address, now: f64) -> f64 {
-        let set = &self.sets[self.place(host, class)];
-        let entry = set.iter().find(|entry| (entry.host, entry.class) == (host, class));
-        let hold = entry.and_then(|entry| entry.holds.iter().find(|hold| hold.server == *server));
+        let hold =
+            self.entry(host, class).and_then(|entry| entry.holds.iter().find(|hold| hold.server == *server));
         hold.filter(|hold| hold.slot.end() > now).map_or(0.0, |hold| f64::from(hold.weight))
     }
 
--- a/handout/tests/handout.rs
+++ b/handout/tests/handout.rs
@@ -44,6 +44,10 @@
     }
 }
 
+fn weight(hosts: &Hosts, who: u32, now: f64) -> f64 {
+    hosts.own(host(who), 0, now).or(hosts.lightest(now)).unwrap()
+}
+
 /// No address is worth more than the sketch says, whoever is forgotten; the heavy ones are told nearly exactly.
 #[test]
 fn the_heaviest_are_known_and_nobody_is_taken_for_light() {
@@ -66,18 +70,21 @@
         }
         if step % 50 == 0 {
             for (who, rate) in &exact {
-                let told = hosts.weight(host(*who), 0, now).unwrap();
+                let told = weight(&hosts, *who, now);
                 assert!(told >= rate * (1.0 - 1e-6), "{who}: {told} of {rate}");
             }
             assert!(hosts.known() <= 64);
+            let all: f64 = exact.values().sum();
+            let mean = hosts.mean(now) * hosts.known() as f64;
+            assert!((mean - all).abs() < 1e-6 * all, "{mean} {all}");
         }
     }
     for who in [0, 1] {
-        let (told, rate) = (hosts.weight(host(who), 0, now).unwrap(), exact[&who]);
+        let (told, rate) = (weight(&hosts, who, now), exact[&who]);
         assert!(told <= 1.05 * rate, "{who}: {told} of {rate}");
     }
     hosts.count(host(0), 0, f64::NAN, now);
-    assert!(hosts.weight(host(0), 0, now).unwrap().is_finite());
+    assert!(weight(&hosts, 0, now).is_finite());
 }
 
 /// Every hold remembered plainly: who, which server, until when, how much.
--- a/pilot/src/guarding.rs
+++ b/pilot/src/guarding.rs
@@ -114,13 +114,10 @@
         let place = usize::from(class);
         let of = &mut *self.of;
         let tries = of.guard.tries(table, class, classes[place].once, tries, of.state.now);
-        if of.guard.relief(table).is_none() {
-            return (level, tries);
-        }
+        let Some(relief) = of.guard.relief(table) else { return (level, tries) };
         let benefit: Vec<f64> = classes.iter().map(|class| class.benefit).collect();
         let demand = of.evidence.by_class(of.holders.of(table), classes.len());
-        let most = of.guard.levels(table, &benefit, &demand).map_or(1.0, |levels| levels[place]);
-        (level.min(most), tries)
+        (level.min(relief.levels(&benefit, &demand)[place]), tries)
     }
 }
 
