State once what a plan may refuse, and add up cold budgets by table

The certificate was given the worths and the budget apart from what the solve had been given, and worked out anew what was refused. Budgets of cold servers walked each table once for every asker and class that uses it; now once. Tests pass as they were.

--- a/cost/src/plan.rs
+++ b/cost/src/plan.rs
@@ -114,21 +114,21 @@
         Program { ways: &ways, sources: &sources, pools, refused_most: most, patience }.solve()
     }
 
-    /// The least that any plan can cost which refuses no more than `worth` of benefit, where each source's unit
-    /// is worth `worths`: by weak duality whatever prices of pools and of refusing are put in, so that the
-    /// solver need not be trusted.
-    fn bound(&self, prices: &[f64], refused_price: f64, worths: &[f64], worth: f64) -> f64 {
+    /// The least that any plan can cost which refuses no more than it may, counted as given: by weak duality whatever
+    /// prices of pools and of refusing are put in, so that the solver need not be trusted.
+    fn bound(&self, answer: &Answer, refusal: Option<(&[f64], f64)>) -> f64 {
+        let (prices, refused_price) = (&answer.pool_prices, answer.refused_price);
         let mut least = vec![f64::INFINITY; self.sources.len()];
         for way in self.ways.iter() {
             // Without what moving costs: the plan is held against the best possible.
             let price = self.model.price(self.sources[way.source].0, way.pool).unwrap_or(f64::INFINITY);
             least[way.source] = least[way.source].min(price + prices[way.pool]);
         }
-        let refusing = |n: usize| if worth > 0.0 { refused_price * worths[n] } else { f64::INFINITY };
+        let refusing = |n: usize| refusal.map_or(f64::INFINITY, |(counted, _)| refused_price * counted[n]);
         let sources = self.sources.iter().zip(&least).enumerate();
         let from: f64 = sources.map(|(n, ((_, work), least))| least.min(refusing(n)) * work).sum();
         let pools: f64 = prices.iter().zip(&self.pools).map(|(price, capacity)| price * capacity).sum();
-        (from - pools - refused_price * worth).max(0.0)
+        (from - pools - refusal.map_or(0.0, |(_, most)| refused_price * most)).max(0.0)
     }
 
     /// Rounded to what counts, with each source's work whole.
@@ -207,17 +207,15 @@
     let chain = network.sources.len().min(network.pools.len()) as f64 + 1.0;
     let mut answer = network.solve(|_| 2.0 * chain * network.dearest, false, None)?;
     let worths: Vec<f64> = network.sources.iter().map(|(source, _)| model.worth(source.class)).collect();
-    let lost =
-        |refused: &[f64]| -> f64 { refused.iter().zip(&worths).map(|(work, worth)| work * worth).sum() };
-    let mut worth = 0.0;
+    // What is worth nothing still is not refused for nothing.
+    let least = worths.iter().copied().fold(0.0, f64::max).max(1.0) * NOTHING;
+    let counted: Vec<f64> = worths.iter().map(|worth| worth.max(least)).collect();
+    let mut refusal = None;
     if network.tidy(&answer).1.iter().any(|work| *work > 0.0) {
-        // What is worth nothing still is not refused for nothing.
-        let least = worths.iter().copied().fold(0.0, f64::max).max(1.0) * NOTHING;
-        let counted: Vec<f64> = worths.iter().map(|worth| worth.max(least)).collect();
-        let first = network.solve(|n| counted[n], true, None)?;
-        let refused = network.tidy(&first).1;
-        worth = refused.iter().zip(&counted).map(|(work, worth)| work * worth).sum::<f64>() * (1.0 + LEEWAY);
-        answer = network.solve(|_| 0.0, false, Some((&counted, worth)))?;
+        let refused = network.tidy(&network.solve(|n| counted[n], true, None)?).1;
+        let worth: f64 = refused.iter().zip(&counted).map(|(work, worth)| work * worth).sum();
+        refusal = Some((&counted[..], worth * (1.0 + LEEWAY)));
+        answer = network.solve(|_| 0.0, false, refusal)?;
     }
     let (tidy, refused) = network.tidy(&answer);
     let flow = |((place, pool), work): (&(usize, usize), &f64)| Flow {
@@ -233,7 +231,7 @@
     };
     Ok(Plan {
         cost: flows.iter().map(price).sum(),
-        bound: network.bound(&answer.pool_prices, answer.refused_price, &worths, lost(&refused).max(worth)),
+        bound: network.bound(&answer, refusal),
         moved: before.map_or(0.0, |before| moved(before.flows, &flows)),
         faults: network.faults(&tidy, &refused),
         refused: refused.iter().enumerate().filter_map(queries).collect(),
--- a/pilot/src/handing.rs
+++ b/pilot/src/handing.rs
@@ -58,16 +58,21 @@
         let young = |started: f64| started > 0.0 && now - started < settings.rules.warm_within;
         let cold = book.members().iter().filter(|(_, member)| young(member.started));
         let mut cold: BTreeMap<Address, f64> = cold.map(|(server, _)| (*server, 0.0)).collect();
-        let asking = settings.askers.iter().enumerate();
-        let any = !cold.is_empty();
-        for (asker, _) in asking.filter(|(_, a)| any && a.metrics.is_none() && a.node.is_none()) {
-            for class in 0..settings.classes.len() as u8 {
-                let Some(view) = tables.held(asker as u16, u16::from(class)) else { continue };
-                let rate = self.rate(asker as u16, class, settings) / view.index.all().max(f64::MIN_POSITIVE);
-                for line in view.index.lines() {
-                    if let Some(budget) = cold.get_mut(&line.server) {
-                        *budget += rate * line.weight;
-                    }
+        let mut rates: BTreeMap<u16, f64> = BTreeMap::new();
+        let asking =
+            settings.askers.iter().enumerate().filter(|(_, a)| a.metrics.is_none() && a.node.is_none());
+        for (asker, _) in asking.filter(|_| !cold.is_empty()) {
+            if let Some(table) = tables.bound(asker as u16) {
+                let classes = 0..settings.classes.len() as u8;
+                let rate: f64 = classes.map(|class| self.rate(asker as u16, class, settings)).sum();
+                *rates.entry(table).or_default() += rate;
+            }
+        }
+        for (table, _, index, _) in tables.all() {
+            let Some(rate) = rates.get(&table) else { continue };
+            for line in index.lines() {
+                if let Some(budget) = cold.get_mut(&line.server) {
+                    *budget += rate * line.weight / index.all();
                 }
             }
         }
