Count the usual rate of askers once in cold servers' budgets

The settings' usual rate is of all classes together; before the first report it was counted for each class, so that answers could bring a cold server as many times its part as there are classes.

--- a/pilot/src/handing.rs
+++ b/pilot/src/handing.rs
@@ -61,11 +61,13 @@
         let mut rates: BTreeMap<u16, f64> = BTreeMap::new();
         let asking =
             settings.askers.iter().enumerate().filter(|(_, a)| a.metrics.is_none() && a.node.is_none());
-        for (asker, _) in asking.filter(|_| !cold.is_empty()) {
+        for (asker, one) in asking.filter(|_| !cold.is_empty()) {
             if let Some(table) = tables.bound(asker as u16) {
-                let classes = 0..settings.classes.len() as u8;
-                let rate: f64 = classes.map(|class| self.rate(asker as u16, class, settings)).sum();
-                *rates.entry(table).or_default() += rate;
+                // The usual rate is of all classes together: counted for each, cold servers would be given several
+                // times their part until the first report.
+                let heard =
+                    self.rates.range((asker as u16, 0)..=(asker as u16, u8::MAX)).map(|(_, rate)| *rate);
+                *rates.entry(table).or_default() += heard.reduce(|a, b| a + b).unwrap_or(one.usual_rate);
             }
         }
         for (table, _, index, _) in tables.all() {
