Serve the platform's protocol as a pilot of its own: oatlever platform

Need: the operators put the program into service as a real pilot on their platform.

Change: `platform/` (lines, messages, sessions, a publisher that renders one message per distinct content), `instance/` (the reader of an instance's settings, moved out of the adapter and shared with it), `roster/src/platform.rs` (the platform's list and its watch), `pilot/src/platform/` (sockets and loop; fronts, listeners and stores of the other entry are not started). Clock and health checks are shared with the other entry.

--- a/wirehost/src/conf.rs
+++ b/instance/src/lib.rs
@@ -1,8 +1,23 @@
-//! The settings an instance starts with, from the JSON text of its first event.
+//! The settings an instance starts with: the JSON object of the simulator's first event, which a pilot on
+//! the platform finds in its configuration. Times there are milliseconds; what is given here are seconds.
 
-use crate::{malformed, Malformed};
 use oatlever::round::{Channel, Levels, QueryClass, Rules, Site};
 use serde_json::Value;
+use std::fmt;
+
+/// What is wrong with the settings, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn malformed<T>(what: impl Into<String>) -> Result<T, Malformed> {
+    Err(Malformed(what.into()))
+}
 
 /// A value of the settings together with the path that led to it, for messages.
 struct Node<'a> {
@@ -67,6 +82,8 @@
     }
 }
 
+/// What the decisions are told at their start.
+#[derive(Clone, Debug)]
 pub struct Start {
     pub site: Site,
     pub classes: Vec<QueryClass>,
@@ -74,12 +91,45 @@
     pub rules: Rules,
 }
 
+/// What a pilot on the platform is told besides: the names that its messages use, and its pace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Names {
+    /// In the order of their numbers.
+    pub zones: Vec<String>,
+    pub classes: Vec<String>,
+    /// Least span between two rounds.
+    pub tick: f64,
+    /// How long a connection to a server may take to come up.
+    pub connect_within: f64,
+}
+
+/// Reads the text of the settings. Errors: it is not JSON, or something in it is missing or odd.
 pub fn read(text: &[u8]) -> Result<Start, Malformed> {
-    let value: Value = match serde_json::from_slice(text) {
-        Ok(value) => value,
-        Err(e) => return malformed(format!("settings are not JSON: {e}")),
+    match serde_json::from_slice(text) {
+        Ok(value) => start(&value),
+        Err(e) => malformed(format!("settings are not JSON: {e}")),
+    }
+}
+
+/// The names in the settings. Errors: one is missing or is no text.
+pub fn names(settings: &Value) -> Result<Names, Malformed> {
+    let root = Node { value: settings, path: String::new() };
+    let text = |node: &Node| match node.value.as_str() {
+        Some(text) => Ok(text.to_string()),
+        None => node.wrong("a text"),
     };
-    let root = Node { value: &value, path: String::new() };
+    let class = |lane: &Node| text(&lane.get("name")?);
+    Ok(Names {
+        zones: root.items("zones")?.iter().map(text).collect::<Result<_, _>>()?,
+        classes: root.items("lanes")?.iter().map(class).collect::<Result<_, _>>()?,
+        tick: root.seconds("tick-ms")?,
+        connect_within: root.get("limits")?.seconds("connect-timeout-ms")?,
+    })
+}
+
+/// What the decisions are told. Errors: something is missing, or is not what it should be.
+pub fn start(settings: &Value) -> Result<Start, Malformed> {
+    let root = Node { value: settings, path: String::new() };
     let info = root.get("family-info")?;
     let limits = root.get("limits")?;
     let rules = root.get("rules")?;
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -1,6 +1,7 @@
 //! The pilot without its sockets: what came in is gathered into a round, the decisions are called, and
 //! what they order goes to the tables. Times are seconds on the pilot's own clock, which nothing steps.
 
+use crate::clock::Clock;
 use crate::guarding::Guarding;
 use crate::handing::Handing;
 use crate::planning::Planning;
@@ -40,7 +41,7 @@
 
 pub struct Core {
     pub settings: Settings,
-    began: Instant,
+    clock: Clock,
     balancer: Balancer,
     pub tables: Tables,
     pub guarding: Option<Guarding>,
@@ -98,7 +99,7 @@
         let pull = Pull::new(&kinds, classes, settings.longest_hold(), now);
         let names = settings.classes.iter().map(|c| c.name.clone()).collect();
         let mut core = Core {
-            began: Instant::now(),
+            clock: Clock::starting_at(now),
             balancer: Balancer::new(
                 settings.site(),
                 settings.query_classes(),
@@ -139,11 +140,11 @@
 
     /// Seconds on the pilot's clock.
     pub fn clock(&self, at: Instant) -> f64 {
-        checks::CLOCK_START + at.saturating_duration_since(self.began).as_secs_f64()
+        self.clock.at(at)
     }
 
     pub fn now(&self) -> f64 {
-        self.clock(Instant::now())
+        self.clock.now()
     }
 
     pub fn zone_of(&self, asker: u16) -> u16 {
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -1,5 +1,6 @@
 //! `oatlever`: one pilot on sockets.
 
+mod clock;
 mod control;
 mod core;
 mod drill;
@@ -10,6 +11,8 @@
 mod pages;
 mod plan;
 mod planning;
+mod platform;
+mod probes;
 mod serve;
 mod status;
 mod wakes;
@@ -42,6 +45,17 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Run a pilot on the operators' platform until SIGTERM or SIGINT.
+    Platform {
+        /// The configuration, as JSON; what `BALANCER_CONFIG` names where it is left out.
+        configuration: Option<PathBuf>,
+        /// How logs are written, to standard error.
+        #[arg(long, value_enum, default_value_t = logs::Form::Text)]
+        log: logs::Form,
+        /// What is logged, as `info` or `oatlever=debug`.
+        #[arg(long, default_value = "info")]
+        log_filter: String,
+    },
     /// Check settings and say what is wrong with them.
     Check { settings: PathBuf },
     /// Print the JSON Schema of the settings.
@@ -122,6 +136,13 @@
     ExitCode::FAILURE
 }
 
+fn told(code: u8) -> impl Fn(String) -> ExitCode {
+    move |e: String| {
+        eprintln!("oatlever: {e}");
+        ExitCode::from(code)
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Schema => {
@@ -165,13 +186,15 @@
                 s.askers.len()
             );
         }),
+        Command::Platform { configuration, log, log_filter } => {
+            let path = configuration.or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
+            let path = path.ok_or_else(|| "no configuration: name one, or set BALANCER_CONFIG".to_string());
+            path.and_then(|path| Ok((platform::Configuration::load(&path)?, path)))
+                .and_then(|read| logs::start(log, &log_filter).map(|()| read))
+                .map_err(told(WRONG))
+                .and_then(|(read, path)| platform::run(read, path).map_err(told(1)))
+        }
         Command::Pilot { settings, log, log_filter, seed } => read(&settings).and_then(|settings| {
-            let told = |code: u8| {
-                move |e: String| {
-                    eprintln!("oatlever: {e}");
-                    ExitCode::from(code)
-                }
-            };
             logs::start(log, &log_filter).map_err(told(WRONG))?;
             serve::run(settings, seed.unwrap_or_else(|| fastrand::u64(..))).map_err(told(1))
         }),
--- /dev/null
+++ b/pilot/src/platform/desk.rs
@@ -0,0 +1,246 @@
+//! A pilot on the platform without its sockets: what came in is gathered into a round, the decisions are
+//! called, and what they order becomes messages. Times are seconds on the pilot's own clock.
+
+use crate::wakes::Wakes;
+use oatlever::balance::Balancer;
+use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream, Tries};
+use oatlever_instance::Start;
+use oatlever_platform::message::{self, Join, Message, Wrong, ALIVE};
+use oatlever_platform::{Connection, Names, Publisher, Role, ServerNames, Sessions};
+use oatlever_roster::platform::{PlatformDocument, Register};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// What the pilot met since its start.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub rounds: u64,
+    pub messages: u64,
+    /// Those that named a server which no list has named.
+    pub strange: u64,
+    pub spoilt: u64,
+    pub refused: u64,
+    pub joined: u64,
+    pub left: u64,
+    pub lists: u64,
+    pub lists_missed: u64,
+    pub written: u64,
+    /// ms that the longest round took.
+    pub longest_round: f64,
+}
+
+/// What is to become of a connection after a line.
+#[derive(Debug, PartialEq)]
+pub enum Reaction {
+    Nothing,
+    /// Write this.
+    Answer(&'static [u8]),
+    /// It has joined; the connection that it replaces is to be closed.
+    Joined(Option<Connection>),
+    /// It may not go on, for this reason.
+    Refuse(String),
+}
+
+/// What a round comes to.
+#[derive(Debug, Default)]
+pub struct Done {
+    pub messages: Vec<(Connection, Rc<[u8]>)>,
+    pub checks: Vec<Address>,
+    /// The list is to be followed, or read whole.
+    pub ask_list: bool,
+}
+
+pub struct Desk {
+    balancer: Balancer,
+    names: Names,
+    sessions: Sessions,
+    publisher: Publisher,
+    pub register: Register,
+    round: Round,
+    wakes: Wakes,
+    joined: BTreeSet<u16>,
+    checking: BTreeSet<Address>,
+    pub counts: Counts,
+}
+
+struct Known<'a>(&'a Register);
+
+impl ServerNames for Known<'_> {
+    fn name(&self, server: Address) -> Option<Rc<str>> {
+        self.0.name(server)
+    }
+}
+
+impl Desk {
+    pub fn new(start: Start, names: &oatlever_instance::Names, seed: u64) -> Self {
+        let names = Names {
+            zones: names.zones.clone(),
+            classes: names.classes.clone(),
+            proxies: start.site.proxies as usize,
+        };
+        Desk {
+            publisher: Publisher::new(names.classes.clone()),
+            balancer: Balancer::new(start.site, start.classes, start.channel, start.rules, seed),
+            names,
+            sessions: Sessions::default(),
+            register: Register::default(),
+            round: Round::default(),
+            wakes: Wakes::default(),
+            joined: BTreeSet::new(),
+            checking: BTreeSet::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn has_joined(&self, connection: Connection) -> bool {
+        self.sessions.role(connection).is_some()
+    }
+
+    /// Takes in a line that came on a connection.
+    pub fn line(&mut self, connection: Connection, line: &[u8]) -> Reaction {
+        self.counts.messages += 1;
+        let message = message::read(line, &self.names);
+        let role = self.sessions.role(connection);
+        match (message, role) {
+            (Ok(Message::SignOfLife), _) => Reaction::Answer(ALIVE),
+            (Ok(Message::Join(join)), None) => self.join(connection, &join),
+            (Ok(_), None) => self.refuse("a report before joining".to_string()),
+            (Err(what), None) => self.refuse(what.to_string()),
+            // What follows on it means nothing, so whoever it was has left.
+            (Err(Wrong::Unreadable(what)), Some(role)) => {
+                tracing::debug!(?role, %what, line = ?String::from_utf8_lossy(&line[..line.len().min(160)]), "unreadable");
+                self.refuse(what)
+            }
+            (Err(Wrong::Spoilt(what)), Some(_)) => self.spoilt(line, &what),
+            (Ok(message), Some(role)) => self.report(message, role, line),
+        }
+    }
+
+    fn refuse(&mut self, why: String) -> Reaction {
+        self.counts.refused += 1;
+        Reaction::Refuse(why)
+    }
+
+    fn spoilt(&mut self, line: &[u8], what: &str) -> Reaction {
+        self.counts.spoilt += 1;
+        let line = String::from_utf8_lossy(&line[..line.len().min(200)]);
+        tracing::debug!(%what, %line, "message left aside");
+        Reaction::Nothing
+    }
+
+    fn join(&mut self, connection: Connection, join: &Join) -> Reaction {
+        let Some(replaced) = self.sessions.join(connection, join) else { return Reaction::Nothing };
+        self.counts.joined += 1;
+        if let Join::Proxy { proxy, zone, rate } = *join {
+            self.publisher.forget(proxy);
+            self.joined.insert(proxy);
+            self.round.streams.push(Stream { proxy, up: true, zone, rate });
+        }
+        Reaction::Joined(replaced)
+    }
+
+    fn report(&mut self, message: Message, role: Role, line: &[u8]) -> Reaction {
+        match (message, role) {
+            (Message::Met(met), Role::Collector(_)) => match self.register.number(&met.server) {
+                None => self.counts.strange += 1,
+                Some(server) => self.round.tries.push(Tries {
+                    server,
+                    zone: met.zone,
+                    tries: met.tries,
+                    failed: met.failed,
+                    time: met.time,
+                    span: met.span,
+                }),
+            },
+            // Usage comes by any collector, or on the proxy's own stream.
+            (Message::Queries(queries), role) if role_speaks_for(role, queries.proxy) => {
+                self.round.queries.push(queries)
+            }
+            (Message::Receipt(receipt), Role::Proxy(proxy)) if receipt.proxy == proxy => {
+                self.round.receipts.push(receipt)
+            }
+            _ => return self.spoilt(line, "not for whoever joined here to say"),
+        }
+        Reaction::Nothing
+    }
+
+    /// A connection ended.
+    pub fn ended(&mut self, connection: Connection) {
+        if let Some(proxy) = self.sessions.leave(connection) {
+            self.counts.left += 1;
+            self.publisher.forget(proxy);
+            self.joined.remove(&proxy);
+            self.round.streams.push(Stream { proxy, up: false, zone: 0, rate: 0.0 });
+        }
+    }
+
+    /// A list of servers, or news of it; `cached` is the one that a pilot starts with.
+    pub fn list(&mut self, document: &PlatformDocument, cached: bool) {
+        if !document.mistakes.is_empty() {
+            tracing::warn!(mistakes = document.mistakes.join("; "), "list of servers read in part");
+        }
+        self.counts.lists += 1;
+        let list = self.register.take(document, cached);
+        // A watch that ended without news says nothing that a round should take up.
+        if list.news != ListNews::Changes || !list.entries.is_empty() {
+            self.round.lists.push(list);
+        }
+    }
+
+    pub fn list_missed(&mut self, is_news: bool) {
+        self.counts.lists_missed += 1;
+        if is_news {
+            self.round.lists.push(List { news: ListNews::Failed, entries: Vec::new() });
+        }
+    }
+
+    pub fn checked(&mut self, server: Address, fine: bool) {
+        self.checking.remove(&server);
+        self.round.health.push(HealthAnswer { server, fine });
+    }
+
+    fn has_news(&self) -> bool {
+        let r = &self.round;
+        let quiet = r.lists.is_empty() && r.streams.is_empty() && r.queries.is_empty();
+        !(quiet && r.tries.is_empty() && r.health.is_empty() && r.receipts.is_empty() && r.wakes.is_empty())
+    }
+
+    /// Takes up what came in and what is due by now, and calls the decisions where there is any.
+    pub fn step(&mut self, now: f64) -> Done {
+        self.round.wakes = self.wakes.due(now);
+        if self.counts.rounds > 0 && !self.has_news() {
+            return Done::default();
+        }
+        let begun = std::time::Instant::now();
+        let mut round = std::mem::take(&mut self.round);
+        round.now = now;
+        self.counts.rounds += 1;
+        self.balancer.round(&round, &mut self.publisher);
+        let joined = self.joined.iter().copied();
+        let (messages, chores) = self.publisher.finish(joined, &Known(&self.register));
+        for (after, number) in chores.wakes {
+            self.wakes.ask(now + after, number);
+        }
+        for note in chores.notes {
+            tracing::info!(note);
+        }
+        let checks = chores.checks.into_iter().filter(|server| self.checking.insert(*server)).collect();
+        let to = |(proxy, bytes)| Some((self.sessions.of(proxy)?, bytes));
+        let messages: Vec<_> = messages.into_iter().filter_map(to).collect();
+        self.counts.written += messages.len() as u64;
+        self.counts.longest_round = self.counts.longest_round.max(begun.elapsed().as_secs_f64() * 1e3);
+        Done { messages, checks, ask_list: chores.follow || chores.fetch }
+    }
+
+    /// When [`Desk::step`] has something to do next, if nothing comes in before.
+    pub fn next_at(&self) -> Option<f64> {
+        self.wakes.next_at()
+    }
+}
+
+fn role_speaks_for(role: Role, proxy: u16) -> bool {
+    match role {
+        Role::Collector(_) => true,
+        Role::Proxy(own) => own == proxy,
+    }
+}
--- /dev/null
+++ b/pilot/src/platform/mod.rs
@@ -0,0 +1,174 @@
+//! The pilot on the operators' platform: its sockets, and the loop that keeps its rounds.
+//!
+//! `configuration` reads what a pilot is told at its start, `connections` hears and speaks to proxies and
+//! collectors, `lists` follows discovery; `desk` gathers what they bring into rounds and knows no sockets.
+//! All run on one thread.
+
+mod configuration;
+mod connections;
+mod desk;
+mod lists;
+
+pub use configuration::Configuration;
+
+use crate::clock::Clock;
+use crate::probes::Probes;
+use crate::serve::listen;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use connections::Connections;
+use desk::Desk;
+use event_listener::Event;
+use futures_lite::{future, StreamExt};
+use oatlever::round::Address;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Descriptors that are not connections of proxies and strangers: standard streams, the reactor's, the
+/// listener, signals, calls to discovery and checks, with a few to spare.
+const OWN_DESCRIPTORS: usize = 32;
+/// Health checks under way at once, each a descriptor.
+const CHECKS_AT_ONCE: usize = 8;
+/// What is asked of a server to see whether it runs.
+const HEALTH: &str = "/health";
+/// Connection times; an answer to a check takes a few at most, or is as good as none.
+const CHECK_PATIENCE: f64 = 3.0;
+/// s; between lines of the log that tell what the pilot sees.
+const TELL_EVERY: f64 = 5.0;
+
+/// What the tasks of the pilot's one thread share. No borrow is held across a wait.
+struct Pilot {
+    clock: Clock,
+    desk: RefCell<Desk>,
+    connections: Connections,
+    discovery: Cell<SocketAddr>,
+    /// Something came in that a round should take up.
+    news: Event,
+    /// The list is to be asked for anew, and whole.
+    ask_anew: Event,
+}
+
+impl Pilot {
+    fn tell(&self) {
+        self.news.notify(usize::MAX);
+    }
+}
+
+async fn rounds(pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>, names: oatlever_instance::Names) {
+    let probes = Rc::new(Probes::new(CHECKS_AT_ONCE));
+    let (tick, patience) = (Duration::from_secs_f64(names.tick), names.connect_within * CHECK_PATIENCE);
+    loop {
+        let listener = pilot.news.listen();
+        let now = pilot.clock.now();
+        let done = pilot.desk.borrow_mut().step(now);
+        for (connection, bytes) in done.messages {
+            pilot.connections.say(connection, bytes);
+        }
+        for server in done.checks {
+            executor.spawn(check(pilot.clone(), server, probes.clone(), patience)).detach();
+        }
+        if done.ask_list {
+            pilot.ask_anew.notify(usize::MAX);
+        }
+        let next = pilot.desk.borrow().next_at();
+        let wait = async {
+            match next {
+                Some(at) => drop(Timer::after(Duration::from_secs_f64((at - now).max(0.0))).await),
+                None => future::pending().await,
+            }
+        };
+        future::or(wait, listener).await;
+        // What comes within a tick is one round's.
+        Timer::after(tick).await;
+    }
+}
+
+async fn check(pilot: Rc<Pilot>, server: Address, probes: Rc<Probes>, patience: f64) {
+    let host = pilot.desk.borrow().register.host(server);
+    if let Some(host) = host {
+        let fine = probes.is_fine(host, HEALTH.to_string(), patience).await;
+        pilot.desk.borrow_mut().checked(server, fine);
+        pilot.tell();
+    }
+}
+
+/// Takes up a replaced configuration; of it only discovery's address can change under a running pilot.
+fn reload(pilot: &Pilot, path: &Path) -> bool {
+    match Configuration::load(path) {
+        Ok(fresh) => {
+            tracing::info!(discovery = %fresh.discovery, "configuration taken up");
+            pilot.discovery.set(fresh.discovery);
+            pilot.ask_anew.notify(usize::MAX);
+            true
+        }
+        Err(what) => {
+            tracing::warn!(%what, "configuration left aside");
+            false
+        }
+    }
+}
+
+/// Times that a configuration is read again which is not whole yet, and s between them.
+const RELOADS: usize = 10;
+const RELOAD_PAUSE: f64 = 0.1;
+
+/// Runs until SIGTERM or SIGINT. Errors: what could not be started.
+pub fn run(configuration: Configuration, path: PathBuf) -> Result<(), String> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let Configuration { name, listen: host, discovery, seed, sockets, known, start, names } = configuration;
+    let socket = listen(host).and_then(Async::new);
+    let socket = socket.map_err(|e| format!("cannot listen on {host}: {e}"))?;
+    let clock = Clock::unix();
+    let follows = !start.site.list_on_request;
+    let mut desk = Desk::new(start, &names, seed);
+    desk.list(&known, true);
+    let pilot = Rc::new(Pilot {
+        clock,
+        desk: RefCell::new(desk),
+        connections: Connections::new(sockets.saturating_sub(OWN_DESCRIPTORS).max(1)),
+        discovery: Cell::new(discovery),
+        news: Event::new(),
+        ask_anew: Event::new(),
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    tracing::info!(%name, %host, %discovery, sockets, "serving the platform");
+    async_io::block_on(executor.run(async {
+        let tasks = [
+            executor.spawn(rounds(pilot.clone(), executor.clone(), names.clone())),
+            executor.spawn(lists::follow(pilot.clone(), names.zones.clone(), follows)),
+            executor.spawn(connections::accept(socket, pilot.clone(), executor.clone())),
+            executor.spawn(tell_counts(pilot.clone())),
+        ];
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => {
+                    for _ in 0..RELOADS {
+                        if reload(&pilot, &path) {
+                            break;
+                        }
+                        Timer::after(Duration::from_secs_f64(RELOAD_PAUSE)).await;
+                    }
+                }
+                _ => break,
+            }
+        }
+        tracing::info!("asked to end");
+        drop(tasks);
+    }));
+    Ok(())
+}
+
+async fn tell_counts(pilot: Rc<Pilot>) {
+    loop {
+        Timer::after(Duration::from_secs_f64(TELL_EVERY)).await;
+        let desk = pilot.desk.borrow();
+        let (listed, remembered) = desk.register.sizes();
+        let (open, unjoined) = pilot.connections.sizes();
+        tracing::info!(open, unjoined, listed, remembered, counts = ?desk.counts, "so far");
+    }
+}
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -1,10 +1,10 @@
 //! The sockets of a pilot and the loop that keeps its rounds.
 
 use crate::core::Core;
+use crate::probes::Probes;
 use crate::{control, status};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_lock::Semaphore;
 use async_signal::{Signal, Signals};
 use event_listener::Event;
 use futures_lite::{future, StreamExt};
@@ -211,7 +211,7 @@
 }
 
 async fn rounds(pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
-    let checks = Rc::new(Semaphore::new(CHECKS_AT_ONCE));
+    let checks = Rc::new(Probes::new(CHECKS_AT_ONCE));
     loop {
         let listener = pilot.news.listen();
         pilot.step();
@@ -230,16 +230,13 @@
     }
 }
 
-async fn check(pilot: Rc<Pilot>, server: oatlever::round::Address, at_once: Rc<Semaphore>) {
-    let _turn = at_once.acquire().await;
+async fn check(pilot: Rc<Pilot>, server: oatlever::round::Address, probes: Rc<Probes>) {
     let Some(checks) = pilot.core.borrow().settings.checks.clone() else { return };
     let host = SocketAddr::from((server.host, server.port));
-    let place = fetch::Place { host, path: checks.path };
-    // The body says nothing that is used.
-    let got = fetch::get(&place, None, checks.patience, 1 << 16).await;
+    let fine = probes.is_fine(host, checks.path, checks.patience).await;
     let mut core = pilot.core.borrow_mut();
     core.counts.checks += 1;
-    core.checked(server, got.is_ok_and(|answer| answer.status == 200));
+    core.checked(server, fine);
     pilot.tell();
 }
 
@@ -247,7 +244,7 @@
 /// proxies dial within a moment: with 128, the usual, some of 480 were reset.
 const DIALLING: i32 = 4096;
 
-fn listen(host: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(host: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(host)?;
     rustix::net::listen(&listener, DIALLING)?;
     Ok(listener)
--- /dev/null
+++ b/roster/src/platform.rs
@@ -0,0 +1,226 @@
+//! The list of the operators' platform: documents, who is listed under which name, and its watch.
+//!
+//! Servers have names there that stay the same for all pilots, and an address that is this pilot's alone.
+//! The decisions know servers by short numbers in the form of an address, which [`Register`] gives out.
+
+use oatlever::round::{Address, Entry, List, ListNews, Readiness};
+use oatlever_fetch as fetch;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Bytes; no name of a server is longer.
+const LONGEST_NAME: usize = 256;
+/// Servers remembered after they were removed: reports of them still come, and tables may name them. Past
+/// this the longest gone are forgotten, as new ones come with new names for as long as a pilot lives.
+const REMEMBERED: usize = 512;
+/// Bytes; a document is no longer: a list of tens of thousands of servers fits.
+const LONGEST_DOCUMENT: usize = 8 << 20;
+
+/// One server of a document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformServer {
+    pub name: String,
+    pub host: SocketAddr,
+    pub zone: u16,
+    pub kind: String,
+    pub readiness: Readiness,
+    pub weight: f64,
+    /// Unix time, s, of its last start; 0 means long ago.
+    pub started: f64,
+}
+
+/// The list, or what changed in it.
+#[derive(Clone, Debug)]
+pub struct PlatformDocument {
+    pub version: u64,
+    pub whole: bool,
+    pub servers: Vec<PlatformServer>,
+    /// What could not be used, by its place.
+    pub mistakes: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    version: u64,
+    full: bool,
+    servers: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct WireServer {
+    id: String,
+    addr: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    state: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+fn server(value: &Value, zones: &[String]) -> Result<PlatformServer, String> {
+    let wire = WireServer::deserialize(value).map_err(|e| e.to_string())?;
+    let readiness = match wire.state.as_str() {
+        "up" => Readiness::Ready,
+        "draining" => Readiness::Draining,
+        "removed" => Readiness::Gone,
+        state => return Err(format!("state is {state:?}, not up, draining or removed")),
+    };
+    let zone = zones.iter().position(|zone| *zone == wire.zone);
+    let zone = zone.ok_or_else(|| format!("zone {:?} is not in the settings", wire.zone))? as u16;
+    if wire.id.is_empty() || wire.id.len() > LONGEST_NAME {
+        return Err(format!("an id of {} bytes", wire.id.len()));
+    }
+    let (weight, started) = (wire.weight, wire.started_ms / 1000.0);
+    if weight < 0.0 || started < 0.0 {
+        return Err("a weight or a start below 0".to_string());
+    }
+    Ok(PlatformServer { name: wire.id, host: wire.addr, zone, kind: wire.kind, readiness, weight, started })
+}
+
+impl PlatformDocument {
+    /// Reads a document. Errors: it is none. Servers that can't be used are left out and told.
+    pub fn read(bytes: &[u8], zones: &[String]) -> Result<Self, String> {
+        let wire: Wire = serde_json::from_slice(bytes).map_err(|e| format!("not a list: {e}"))?;
+        Ok(Self::of(wire, zones))
+    }
+
+    /// The same from a value, as the configuration of a pilot holds it.
+    pub fn from_value(value: &Value, zones: &[String]) -> Result<Self, String> {
+        let wire = Wire::deserialize(value).map_err(|e| format!("not a list: {e}"))?;
+        Ok(Self::of(wire, zones))
+    }
+
+    fn of(wire: Wire, zones: &[String]) -> Self {
+        let (mut servers, mut mistakes) = (Vec::new(), Vec::new());
+        for (n, value) in wire.servers.iter().enumerate() {
+            match server(value, zones) {
+                Ok(server) => servers.push(server),
+                Err(what) => mistakes.push(format!("/servers/{n}: {what}")),
+            }
+        }
+        PlatformDocument { version: wire.version, whole: wire.full, servers, mistakes }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    name: Rc<str>,
+    host: SocketAddr,
+}
+
+/// Which server is which: names of the platform, numbers of the decisions.
+#[derive(Debug, Default)]
+pub struct Register {
+    numbers: HashMap<Rc<str>, Address>,
+    known: BTreeMap<Address, Known>,
+    listed: BTreeMap<Address, bool>,
+    /// Those not listed any more, the longest gone first.
+    removed: VecDeque<Address>,
+    kinds: Vec<String>,
+    next: u32,
+    /// The version of the list that is held; none before the first.
+    pub version: Option<u64>,
+}
+
+impl Register {
+    /// Takes in a document and tells what it means to the decisions. The list that a pilot starts with
+    /// counts as `cached`.
+    pub fn take(&mut self, document: &PlatformDocument, cached: bool) -> List {
+        let whole = document.whole && document.mistakes.is_empty();
+        if whole {
+            for (_, listed) in self.listed.iter_mut() {
+                *listed = false;
+            }
+        }
+        let entries: Vec<Entry> = document.servers.iter().map(|server| self.entry(server)).collect();
+        let gone: Vec<Address> = self.listed.extract_if(.., |_, listed| !*listed).map(|(a, _)| a).collect();
+        self.removed.extend(gone);
+        while self.removed.len() > REMEMBERED {
+            let forgotten = self.removed.pop_front().and_then(|old| self.known.remove(&old));
+            forgotten.map(|known| self.numbers.remove(&known.name));
+        }
+        self.version = Some(document.version);
+        let news = match (whole, cached) {
+            (true, true) => ListNews::Cached,
+            (true, false) => ListNews::Full,
+            (false, _) => ListNews::Changes,
+        };
+        List { news, entries }
+    }
+
+    fn entry(&mut self, server: &PlatformServer) -> Entry {
+        let name: Rc<str> = server.name.as_str().into();
+        let next = &mut self.next;
+        let number = *self.numbers.entry(name.clone()).or_insert_with(|| {
+            *next = next.wrapping_add(1);
+            Address { host: next.to_be_bytes(), port: 0 }
+        });
+        self.known.insert(number, Known { name, host: server.host });
+        let listed = server.readiness != Readiness::Gone;
+        if listed && self.listed.insert(number, true).is_none() {
+            self.removed.retain(|old| *old != number);
+        } else if !listed {
+            self.listed.entry(number).and_modify(|listed| *listed = false);
+        }
+        let kind = self.kinds.iter().position(|kind| *kind == server.kind).unwrap_or_else(|| {
+            if self.kinds.len() < usize::from(u8::MAX) {
+                self.kinds.push(server.kind.clone());
+            }
+            self.kinds.len() - 1
+        });
+        Entry {
+            server: number,
+            zone: server.zone,
+            kind: kind as u8,
+            readiness: server.readiness,
+            weight: server.weight,
+            started: server.started,
+        }
+    }
+
+    /// The number of a server by its name; none where no list has named it lately.
+    pub fn number(&self, name: &str) -> Option<Address> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn name(&self, server: Address) -> Option<Rc<str>> {
+        self.known.get(&server).map(|known| known.name.clone())
+    }
+
+    /// Where a server listens, as far as this pilot is told.
+    pub fn host(&self, server: Address) -> Option<SocketAddr> {
+        self.known.get(&server).map(|known| known.host)
+    }
+
+    /// Servers listed now, and those remembered besides.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.listed.len(), self.removed.len())
+    }
+}
+
+/// Asks for the list: all of it, or, after a version, for what is newer, waiting up to `wait` seconds for
+/// something to tell. Errors: no answer within `patience` seconds more, or one that is no list.
+pub async fn ask(
+    host: SocketAddr,
+    after: Option<u64>,
+    zones: &[String],
+    (wait, patience): (f64, f64),
+) -> Result<PlatformDocument, String> {
+    let (query, wait) = match after {
+        None => (String::new(), 0.0),
+        Some(version) => (format!("?index={version}&wait={}", (wait * 1000.0) as u64), wait),
+    };
+    let place = fetch::Place { host, path: format!("/v1/endpoints{query}") };
+    let got = fetch::get(&place, None, wait + patience, LONGEST_DOCUMENT).await;
+    let got = got.map_err(|e| format!("{host}: {e}"))?;
+    if got.status != 200 {
+        return Err(format!("{host}: status {}", got.status));
+    }
+    PlatformDocument::read(&got.body, zones).map_err(|e| format!("{host}: {e}"))
+}
--- a/wirehost/src/lib.rs
+++ b/wirehost/src/lib.rs
@@ -1,9 +1,8 @@
 //! The simulator's wire around oatlever's decisions.
 //!
-//! `frame` cuts batches out of a byte stream and builds replies, `conf` reads the
-//! settings an instance starts with, `host` keeps the instances apart.
+//! `frame` cuts batches out of a byte stream and builds replies, `host` keeps the instances
+//! apart. The settings an instance starts with are read by `oatlever-instance`.
 
-pub mod conf;
 pub mod frame;
 pub mod host;
 
