--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -148,6 +148,7 @@
         if pilot.desk.borrow().has_joined(number) {
             future::pending().await
         } else {
+            pilot.desk.borrow_mut().counts.refused += 1;
             End::Refused
         }
     };
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -123,6 +123,9 @@
     let Configuration { name, listen: host, discovery, seed, sockets, known, start, names } = configuration;
     let socket = listen(host).and_then(Async::new);
     let socket = socket.map_err(|e| format!("cannot listen on {host}: {e}"))?;
+    // The port is the system's where any is asked for by 0.
+    let host = socket.get_ref().local_addr().unwrap_or(host);
+    tracing::debug!(?start, ?names, "told");
     let clock = Clock::unix();
     let follows = !start.site.list_on_request;
     let mut desk = Desk::new(start, &names, seed);
--- /dev/null
+++ b/pilot/tests/platform.rs
@@ -0,0 +1,210 @@
+//! The pilot on the platform as a process, against a small platform on loopback.
+
+use oatlever_standins::platform::{server, Discovery, Peer};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// More than any step takes on a busy machine; reached only where something is wrong.
+const LONG: Duration = Duration::from_secs(20);
+
+struct Pilot {
+    child: Child,
+    host: SocketAddr,
+    path: PathBuf,
+}
+
+fn configuration(discovery: SocketAddr, sockets: u32) -> Value {
+    let lane = |name: &str, worth: f64| json!({"name": name, "slo-ms": 1000.0, "worth": worth});
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "known": {"version": 1, "full": true, "servers": [server("s-1", "up"), server("s-old", "up")]},
+        "settings": {
+            "family-info": {"egress-per-s": 8600.0, "head": 4.0, "level-kind": "share", "partitions-n": 0,
+                "data-plane-size": 9, "choice": "weighted", "period-ms": 1000.0, "queue-cap": 8600.0,
+                "reloads-max": 0, "transit-max-ms": 545.0, "update-window-ms": 10000.0,
+                "write-life-ms": 4020.0},
+            "lanes": [lane("lookup", 1.0), lane("order", 3.0)],
+            "limits": {"probes": false, "connect-timeout-ms": 300.0},
+            "registry-mode": "pushed", "siblings": 1, "tick-ms": 2.0, "zones": ["a", "b"],
+            "rules": {"ask-within-ms": 10000.0, "fall-multiple": 2.5, "start-capacity": 0.15,
+                "warm-within-ms": 16000.0}
+        }
+    })
+}
+
+impl Pilot {
+    /// Starts one and waits until it says where it listens.
+    fn start(name: &str, configuration: &Value) -> Pilot {
+        let path = std::env::temp_dir().join(format!("oatlever-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, configuration.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_oatlever"))
+            .args(["platform", path.to_str().unwrap(), "--log", "json"])
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let first: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
+        assert_eq!(first["fields"]["message"], "serving the platform");
+        let host = first["fields"]["host"].as_str().unwrap().parse().unwrap();
+        // The rest of the log is read on, so that the pilot never waits for a full pipe.
+        std::thread::spawn(move || lines.for_each(drop));
+        Pilot { child, host, path }
+    }
+
+    fn dial(&self) -> Peer {
+        Peer::dial(self.host, LONG).unwrap()
+    }
+
+    /// Joins a proxy and waits for its table.
+    fn proxy(&self, number: u16, named: &str) -> Peer {
+        let mut peer = self.dial();
+        peer.say(json!({"msg": "attach", "proxy": number, "zone": "a", "weight": 2.5, "fresh": true}))
+            .unwrap();
+        assert!(peer.holds(LONG, |table| table.contains_key(named)), "{:?}", peer.table);
+        peer
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Pilot {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+#[test]
+fn a_proxy_follows_the_list_through_the_pilot() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    discovery.say("s-2", "up");
+    let mut pilot = Pilot::start("follow", &configuration(discovery.host, 64));
+    let mut peer = pilot.proxy(3, "s-2");
+    // What was known at the start and is listed no more has no line.
+    assert!(peer.holds(LONG, |table| !table.contains_key("s-old")), "{:?}", peer.table);
+    let mark = *peer.marks.last().expect("a mark");
+    peer.say(json!({"msg": "done", "proxy": 3, "mark": mark, "took_ms": 3.5})).unwrap();
+    discovery.say("s-1", "draining");
+    assert!(peer.holds(LONG, |table| !table.contains_key("s-1")), "{:?}", peer.table);
+
+    // It joins anew before the old stream is seen to end: the old one is closed, the new one served.
+    let _again = pilot.proxy(3, "s-2");
+    while let Some(_late) = peer.hear().unwrap() {}
+    pilot.signal("-TERM");
+    assert_eq!(pilot.child.wait().unwrap().code(), Some(0));
+}
+
+/// Guards against a pilot without discovery that serves nobody: its last list has to do.
+#[test]
+fn the_known_list_serves_while_discovery_is_silent() {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let pilot = Pilot::start("silent", &configuration(silent.local_addr().unwrap(), 64));
+    pilot.proxy(3, "s-old");
+}
+
+/// A wrong field spoils its message and no other; what can't be read ends the connection.
+#[test]
+fn spoilt_messages_are_left_aside_and_garbage_ends_a_stream() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let pilot = Pilot::start("spoilt", &configuration(discovery.host, 64));
+    let mut peer = pilot.proxy(3, "s-1");
+    for spoilt in [
+        json!({"msg": "done", "proxy": 3, "mark": -1, "took_ms": 3.5}),
+        json!({"msg": "done", "proxy": 4, "mark": 0, "took_ms": 3.5}),
+        json!({"msg": "client_stats", "proxy": 3, "class": "none", "tries": 1, "failed": 0, "span_ms": 9.0}),
+        json!({"msg": "upstream_stats", "zone": "a", "server": "s-1", "tries": "nan", "span_ms": 9.0}),
+        json!({"msg": "attach", "proxy": 5, "zone": "a", "weight": 2.5, "fresh": true}),
+        json!({"msg": "unheard of"}),
+    ] {
+        peer.say(spoilt).unwrap();
+    }
+    peer.say(json!({"msg": "hb"})).unwrap();
+    while peer.hear().unwrap().expect("the stream goes on")["msg"] != "hb_ok" {}
+    peer.send(b"\xff\x00 and so on\n").unwrap();
+    while let Some(_late) = peer.hear().unwrap() {}
+    pilot.proxy(3, "s-1");
+}
+
+/// Guards against strangers that hold what proxies need: far more of them than there are descriptors, of
+/// every kind; each is sent away, and a proxy that dials amid them is served.
+#[test]
+fn strangers_are_sent_away_and_do_not_keep_proxies_out() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let pilot = Pilot::start("strangers", &configuration(discovery.host, 64));
+    let kinds: [&[u8]; 7] = [
+        b"",
+        b"{\"msg\":\"att",
+        b"GET / HTTP/1.1\r\nhost: x\r\n\r\n",
+        b"{\"msg\":\"attach\",\"proxy\":9,\"zone\":\"a\",\"weight\":1,\"fresh\":true}\n",
+        b"{\"msg\":\"telemetry\",\"zone\":\"z\"}\n",
+        b"{\"msg\":\"done\",\"proxy\":3,\"mark\":0,\"took_ms\":3.5}\n",
+        b"{\"msg\":\"hb\"}\n",
+    ];
+    let mut strangers = Vec::new();
+    for n in 0..150 {
+        let mut stranger = pilot.dial();
+        // It may be sent away before it has said its word.
+        let _ = stranger.send(kinds[n % kinds.len()]);
+        strangers.push(stranger);
+    }
+    let mut endless = pilot.dial();
+    while endless.send(&[b'x'; 4096]).is_ok() {}
+    let mut proxy = pilot.proxy(3, "s-1");
+    for mut stranger in strangers {
+        while let Some(said) = stranger.hear().expect("an end") {
+            assert!(["hb_ok", "reject"].contains(&said["msg"].as_str().unwrap()), "{said}");
+        }
+    }
+    proxy.say(json!({"msg": "hb"})).unwrap();
+    while proxy.hear().unwrap().expect("the proxy stays")["msg"] != "hb_ok" {}
+}
+
+#[test]
+fn a_replaced_configuration_names_another_discovery() {
+    let (first, second) = (Discovery::start().unwrap(), Discovery::start().unwrap());
+    first.say("s-1", "up");
+    let pilot = Pilot::start("reload", &configuration(first.host, 64));
+    let mut peer = pilot.proxy(3, "s-1");
+    assert!(first.is_asked("index=", LONG));
+    // One that can't be read is left aside, whatever it was meant to say.
+    std::fs::write(&pilot.path, "{").unwrap();
+    pilot.signal("-HUP");
+    second.say("s-1", "draining");
+    second.say("s-2", "up");
+    let fresh = pilot.path.with_extension("fresh");
+    std::fs::write(&fresh, configuration(second.host, 64).to_string()).unwrap();
+    std::fs::rename(&fresh, &pilot.path).unwrap();
+    pilot.signal("-HUP");
+    assert!(second.is_asked("index=", LONG));
+    assert!(
+        peer.holds(LONG, |table| table.contains_key("s-2") && !table.contains_key("s-1")),
+        "{:?}",
+        peer.table
+    );
+}
+
+#[test]
+fn a_wrong_configuration_is_told_with_its_place() {
+    let mut wrong = configuration("127.0.0.1:9".parse().unwrap(), 64);
+    wrong["settings"]["family-info"]["head"] = json!("four");
+    let path = std::env::temp_dir().join(format!("oatlever-{}-wrong.json", std::process::id()));
+    std::fs::write(&path, wrong.to_string()).unwrap();
+    let program = env!("CARGO_BIN_EXE_oatlever");
+    let told = Command::new(program).args(["platform", path.to_str().unwrap()]).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(told.status.code(), Some(2));
+    let text = String::from_utf8(told.stderr).unwrap();
+    assert!(text.contains("`family-info.head` is not a number of 0 or more"), "{text}");
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! What tests of other packages share of the stand-ins; the program has the rest.
+
+pub mod platform;
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,156 @@
+//! A small side of the operators' platform, for tests on loopback: discovery, and whoever dials a pilot.
+//! Plain blocking sockets and a thread each.
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// A server as the list names it, of zone `a`.
+pub fn server(id: &str, state: &str) -> Value {
+    json!({"id": id, "addr": "127.0.0.1:9", "zone": "a", "kind": "m2", "cell": 3, "state": state,
+           "weight": 1.0, "started_ms": 0})
+}
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    /// By id: the version that brought it, and what it says.
+    servers: BTreeMap<String, (u64, Value)>,
+    calls: Vec<String>,
+}
+
+/// Discovery: answers whole lists at once and watches when there is news.
+pub struct Discovery {
+    pub host: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Discovery {
+    /// Listens on a free port until the process ends.
+    pub fn start() -> io::Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let discovery = Discovery { host: listener.local_addr()?, shared: Arc::default() };
+        let shared = discovery.shared.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                // A pilot that hangs up ends its call.
+                std::thread::spawn(move || drop(answer(stream, &shared)));
+            }
+        });
+        Ok(discovery)
+    }
+
+    /// Has the list say so of a server from now on.
+    pub fn say(&self, id: &str, state: &str) {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        held.version += 1;
+        let version = held.version;
+        held.servers.insert(id.to_string(), (version, server(id, state)));
+        self.shared.1.notify_all();
+    }
+
+    /// Waits for a call whose path has `part` in it; false where none comes `within` that.
+    pub fn is_asked(&self, part: &str, within: Duration) -> bool {
+        let held = self.shared.0.lock().expect("no thread panics");
+        let none = |state: &mut State| !state.calls.iter().any(|call| call.contains(part));
+        let (_held, late) = self.shared.1.wait_timeout_while(held, within, none).expect("no thread panics");
+        !late.timed_out()
+    }
+}
+
+fn answer(stream: TcpStream, shared: &(Mutex<State>, Condvar)) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut first = String::new();
+    reader.read_line(&mut first)?;
+    let mut header = String::new();
+    while reader.read_line(&mut header)? > 2 {
+        header.clear();
+    }
+    let number = |key: &str| {
+        let value = first.split(key).nth(1)?.split(['&', ' ']).next()?;
+        value.parse::<u64>().ok()
+    };
+    let mut held = shared.0.lock().expect("no thread panics");
+    held.calls.push(first.clone());
+    shared.1.notify_all();
+    let index = number("index=");
+    if let (Some(index), Some(wait)) = (index, number("wait=")) {
+        let until = Duration::from_millis(wait);
+        let old = |state: &mut State| state.version <= index;
+        held = shared.1.wait_timeout_while(held, until, old).expect("no thread panics").0;
+    }
+    let news = held.servers.values().filter(|(version, _)| index.is_none_or(|index| *version > index));
+    let servers: Vec<&Value> = news.map(|(_, server)| server).collect();
+    let body = json!({"version": held.version, "full": index.is_none(), "servers": servers}).to_string();
+    drop(held);
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
+    (&stream).write_all((head + &body).as_bytes())
+}
+
+/// Whoever dials a pilot: a proxy, a collector or a stranger.
+pub struct Peer {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+    /// What a proxy holds: its lines, by the server's id.
+    pub table: BTreeMap<String, f64>,
+    /// Marks that came.
+    pub marks: Vec<u64>,
+}
+
+impl Peer {
+    /// Dials; no read waits longer than `patience`.
+    pub fn dial(pilot: SocketAddr, patience: Duration) -> io::Result<Peer> {
+        let stream = TcpStream::connect(pilot)?;
+        stream.set_read_timeout(Some(patience))?;
+        let reader = BufReader::new(stream.try_clone()?);
+        Ok(Peer { stream, reader, table: BTreeMap::new(), marks: Vec::new() })
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
+    pub fn say(&mut self, message: Value) -> io::Result<()> {
+        self.send(format!("{message}\n").as_bytes())
+    }
+
+    /// The next message; none at the end of the connection. Errors: none came in time, or it is no JSON.
+    pub fn hear(&mut self) -> io::Result<Option<Value>> {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => Ok(None),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionReset => Ok(None),
+            Err(e) => Err(e),
+            Ok(_) => Ok(Some(serde_json::from_str(&line)?)),
+        }
+    }
+
+    /// Hears orders, and applies them, until the table is as wanted; false where the connection ends or
+    /// `within` is over before.
+    pub fn holds(&mut self, within: Duration, wanted: impl Fn(&BTreeMap<String, f64>) -> bool) -> bool {
+        let begun = Instant::now();
+        while !wanted(&self.table) {
+            match self.hear() {
+                Ok(Some(order)) if begun.elapsed() < within => self.apply(&order),
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    fn apply(&mut self, order: &Value) {
+        if order["full"] == true {
+            self.table.clear();
+        }
+        for line in order["endpoints"].as_array().into_iter().flatten() {
+            let (Some(id), Some(weight)) = (line[0].as_str(), line[1].as_f64()) else { continue };
+            self.table.insert(id.to_string(), weight);
+        }
+        self.table.retain(|_, weight| *weight > 0.0);
+        self.marks.extend(order["nonce_out"].as_u64());
+    }
+}
