Give a new server its part as soon as it is warm, not many cycles later

Excluded: late lists (told within 0.5 s), lost checks (answered within a tick), the channel (waiting 0 of 7900 lines at each cycle), cold budgets (no line cut). Cause: `check_health` checked cold servers only, and `move_trust` wanted answers. 30 servers share 90 queries a second per pilot, so 5% brings one an answer every 7 s; warm, it was not checked any more. Steps of 0.2 then took five cycles.

Change: a server is checked when the list names it, and while its queries have not spoken against it; its steps keep pace with its warming; answers count from the last cycle on rather than for a cycle's length.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,7 +37,7 @@
 const TRUST_STEP: f64 = 0.2;
 /// Part; a distrusted server keeps this much, so that its return shows; a few queries lost.
 const TRICKLE: f64 = 0.05;
-/// Part; a cold server trusted less than this is checked once a cycle, where checks are allowed.
+/// Part; a new server trusted less than this is checked once a cycle, where checks are allowed.
 const CHECKED: f64 = 0.3;
 /// Part; a server quicker than its peers is trusted with no more than this: its times may be luck.
 const TOP_TRUST: f64 = 3.0;
@@ -243,11 +243,13 @@
             }
         }
         let cycle = now >= self.times.next_cycle;
+        if cycle || !round.lists.is_empty() {
+            self.check_health(now, out);
+        }
         if cycle {
             self.move_trust(now);
             self.move_crowding(now);
             self.move_line(now);
-            self.check_health(now, out);
             self.times.last_cycle = now;
             self.times.next_cycle = now + self.cycle() * OVERDUE;
         }
@@ -424,7 +426,10 @@
         let usual = median(times).unwrap_or(0.0);
         let failed = self.servers.values().filter(|s| s.is_ready());
         let usual_failed = median(failed.map(|s| s.part_failed(now, PRIOR_ANSWERS)).collect()).unwrap_or(0.0);
-        let cycle = self.cycle();
+        let last = self.times.last_cycle;
+        // Guards against trust that lags behind warming: where a server is warm within a few cycles, the
+        // rest of the fleet carries its part meanwhile. Its budget holds it while it is cold.
+        let new_step = TRUST_STEP.max(self.cycle() / self.rules.warm_within.max(f64::MIN_POSITIVE));
         let (mut answers, mut trusted) = (0.0, 0.0);
         for server in self.servers.values().filter(|s| s.is_ready()) {
             answers += server.answers.read(now);
@@ -448,18 +453,22 @@
             let due = due.max(CREDIT * credit).max(TRICKLE);
             if due < server.trust {
                 server.trust = due;
-            } else if now - server.answered_at <= cycle {
-                server.trust = (server.trust + TRUST_STEP).min(due);
+                server.judged = true;
+            } else if server.answered_at > last {
+                let step = if server.judged { TRUST_STEP } else { new_step };
+                server.trust = (server.trust + step).min(due);
             }
         }
     }
 
     /// Guards against a return that shows too late: a server that has just started gets few queries, so a
     /// check that it answers counts for a cycle with answers. Should help wherever much has to come back at
-    /// once; a check says only that the process runs, so it is no word for a server that is warm and slow,
-    /// lifts trust no higher than what queries tell, and costs some work.
+    /// once, and where many proxies bring few queries each: the little that a new server is given may bring
+    /// it none for many cycles, warm as it is by then. A check says only that the process runs, so it is no
+    /// word for a warm server that its queries have spoken against, lifts trust no higher than what they
+    /// tell, and costs some work.
     fn check_health(&self, now: f64, out: &mut dyn Writer) {
-        let new = |s: &Server| self.is_cold(s, now) && s.trust < CHECKED;
+        let new = |s: &Server| (self.is_cold(s, now) || !s.judged) && s.trust < CHECKED;
         let checked = self.servers.iter().filter(|(_, s)| s.is_ready() && new(s));
         for (address, _) in checked.filter(|_| self.site.probes) {
             out.check_health(*address);
@@ -472,7 +481,7 @@
         // What the proxies usually bring is what the whole fleet can do, as far as a pilot that has just
         // started knows; without it a restart amid trouble would know no budget at all.
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum();
-        let listed: f64 = self.servers.values().map(|s| s.size).sum();
+        let listed: f64 = self.by_zone(|s| s.size).iter().sum();
         if listed > 0.0 {
             self.line.proven = self.line.proven.max(usual / listed);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,8 @@
     /// Clock time of its last start; 0 means long ago.
     pub started: f64,
     pub trust: f64,
+    /// Queries have spoken against it since its start.
+    pub judged: bool,
     pub tries: Fading,
     pub failed: Fading,
     pub answers: Fading,
@@ -35,6 +37,7 @@
             size: weight,
             started: entry.started,
             trust,
+            judged: false,
             tries: Fading::over(span),
             failed: Fading::over(span),
             answers: Fading::over(span),
@@ -166,7 +169,14 @@
 
 impl Default for Line {
     fn default() -> Self {
-        Line { part: 1.0, held: 1.0, limit: f64::INFINITY, pressure: 0.0, proven: 0.0, met: 0.0 }
+        Line {
+            part: 1.0,
+            held: 1.0,
+            limit: f64::INFINITY,
+            pressure: 0.0,
+            proven: 0.0,
+            met: 0.0,
+        }
     }
 }
 
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -318,3 +318,24 @@
     play.round(&open(1.0, vec![entry(1, 0, Readiness::Ready, 0.0)], vec![join(0, 0)]));
     assert!(play.book.levels.values().all(|(level, _)| *level > 1000.0), "{:?}", play.book.levels);
 }
+
+/// Guards against a release that leaves new servers idle beside a jam: with few queries a server and a
+/// pilot, 5% of a part brings a new one no answer for many cycles, warm as it long is.
+#[test]
+fn a_new_server_has_its_part_as_soon_as_it_is_warm() {
+    let quick = Rules { warm_within: 1.0, ..rules() };
+    let mut play = Play::new(Site { probes: true, ..site() }, quick, channel(0));
+    play.round(&open(100.0, ready(3, 1), vec![join(0, 0)]));
+    for second in 1..=3 {
+        let mut round = at(100.0 + f64::from(second));
+        if second == 1 {
+            round.lists = vec![list(ListNews::Changes, vec![entry(4, 0, Readiness::Ready, 100.5)])];
+        }
+        round.tries = (0..3).map(|n| tries(n, 0, 10.0, 0.0, 0.2)).collect();
+        for server in std::mem::take(&mut play.book.checked) {
+            round.health.push(HealthAnswer { server, fine: true });
+        }
+        play.round(&round);
+    }
+    assert!(play.book.part(0, 4) > 0.2, "{:?}", play.book.tables);
+}
