Let proxies that come over from another pilot keep their level

One pilot restarts, the other goes from 72 proxies to 150 (noted: limit 71 queries a second before and after, part 0.76 to 0.40), while 156 a second were being answered. Excluded: jam of the new proxies (p50 of what was let in 234 ms), reports (their mean times agree with the clients' at the lag of the sums), usage counted twice (came 185 a second, as offered). Cause: `move_line` kept `limit` in queries a second of the proxies before, and could only lower it while answers of the newcomers were still on their way.

Change: the limit follows the joined proxies' usual rate, and does not fall for 4 s after that grew by a tenth.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -482,6 +482,16 @@
         // started knows; without it a restart amid trouble would know no budget at all.
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum();
         let listed: f64 = self.by_zone(|s| s.size).iter().sum();
+        // Guards against refusing the queries of proxies that come over from another pilot: they bring their
+        // part of the load with them, and what was answered so far is of those before them. The same part
+        // is let in until their reports tell more; harms where they bring an overload of their own.
+        let grown = if self.line.usual.min(usual) > 0.0 { usual / self.line.usual } else { 1.0 };
+        self.line.usual = usual;
+        self.line.limit *= grown;
+        if grown > 1.0 + MOVED {
+            self.line.grown_at = Some(now);
+        }
+        let sure = self.line.grown_at.is_none_or(|at| now - at > SETTLED);
         if listed > 0.0 {
             self.line.proven = self.line.proven.max(usual / listed);
         }
@@ -504,7 +514,7 @@
             self.line.proven = self.line.proven.max(answered / weight);
         }
         self.line.met = (answers + failed) / span;
-        if self.line.pressure > LATE {
+        if self.line.pressure > LATE && sure {
             let least = LINE_LEAST * self.line.proven * weight;
             self.line.limit = self.line.limit.min(offered).min((answered * LINE_FALL).max(least));
         } else if self.line.pressure < EASY {
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,6 +165,9 @@
     pub proven: f64,
     /// Tries a second that came to an end.
     pub met: f64,
+    /// Queries a second that the joined proxies usually bring, and when that last grew at once.
+    pub usual: f64,
+    pub grown_at: Option<f64>,
 }
 
 impl Default for Line {
@@ -176,6 +179,8 @@
             pressure: 0.0,
             proven: 0.0,
             met: 0.0,
+            usual: 0.0,
+            grown_at: None,
         }
     }
 }
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -339,3 +339,37 @@
     }
     assert!(play.book.part(0, 4) > 0.2, "{:?}", play.book.tables);
 }
+
+/// So many queries of each proxy, six servers that each answer 10 a second in `time`.
+fn second(now: f64, proxies: u16, came: f64, time: f64) -> Round {
+    let mut round = at(now);
+    let query = |proxy| ProxyQueries { proxy, class: 0, came, span: 1.0 };
+    round.queries = (0..proxies).map(query).collect();
+    round.tries = (0..6).map(|n| tries(n, n % 2, 10.0, 0.0, time)).collect();
+    round
+}
+
+fn least_level(book: &Book) -> f64 {
+    book.levels.values().map(|(level, _)| *level).fold(1.0, f64::min)
+}
+
+/// Guards against refusing half of what comes when a pilot takes over the proxies of another while it
+/// refuses a little: its line was one of queries a second, and the proxies doubled.
+#[test]
+fn proxies_that_come_over_keep_their_level() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    let join = |proxy: u16| Stream { rate: 30.0, ..join(proxy, proxy % 2) };
+    play.round(&open(100.0, ready(6, 2), vec![join(0), join(1)]));
+    for n in 1..=12 {
+        play.round(&second(100.0 + f64::from(n), 2, 30.0, 0.5));
+    }
+    let before = least_level(&play.book);
+    assert!(before > 0.7 && before < 1.0, "{before}");
+    for n in 13..=15 {
+        let mut round = second(100.0 + f64::from(n), 4, 30.0, 0.5);
+        round.streams = if n == 13 { vec![join(2), join(3)] } else { Vec::new() };
+        play.round(&round);
+    }
+    let after = least_level(&play.book);
+    assert!(after > before - 0.1, "{before}, then {after}");
+}
