Hold what was known while no reports come, and refuse only what is late

Noted: no report at all from 12 to 16 s, twice the usual from 19 to 22 s; the line's limit fell from 102 to 34 queries a second while the pressure was 0.00 to 0.27; trust of all fell to 0.21 to 0.71. Excluded: spoilt reports taken for good (each logged; none passed), collectors lost by the pilot (their connections stayed open, bytes simply did not come), real overload (clients' times). Cause: sums fade without reports, and `move_line` clamped the limit to what they then claimed, to rise by a tenth a cycle after; `move_trust` divided by a median of nothing (`usual` 0), which called all servers slow.

Change: trust, crowding and line move only in cycles that had reports; a median of nothing says nothing; nothing is refused for growth alone while the pressure is low.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -247,9 +247,13 @@
             self.check_health(now, out);
         }
         if cycle {
-            self.move_trust(now);
-            self.move_crowding(now);
-            self.move_line(now);
+            // Guards against taking silence for rest: where no reports come, as while collectors are cut off,
+            // sums fade and say nothing of queries, answers or speed. What was known holds meanwhile.
+            if self.times.heard_at.is_none_or(|at| at > self.times.last_cycle) {
+                self.move_trust(now);
+                self.move_crowding(now);
+                self.move_line(now);
+            }
             self.times.last_cycle = now;
             self.times.next_cycle = now + self.cycle() * OVERDUE;
         }
@@ -438,7 +442,7 @@
         let per_trust = answers / trusted.max(f64::MIN_POSITIVE);
         for server in self.servers.values_mut() {
             let speed = match server.mean_time(now, usual, PRIOR_ANSWERS) {
-                time if time > 0.0 => usual / time,
+                time if time > 0.0 && usual > 0.0 => usual / time,
                 _ => 1.0,
             };
             let failing = (server.part_failed(now, PRIOR_ANSWERS) - usual_failed).max(0.0);
@@ -518,7 +522,8 @@
             let least = LINE_LEAST * self.line.proven * weight;
             self.line.limit = self.line.limit.min(offered).min((answered * LINE_FALL).max(least));
         } else if self.line.pressure < EASY {
-            self.line.limit *= LINE_RISE;
+            // What grows while nothing is refused and nothing is late is no overload.
+            self.line.limit *= if self.line.part < 1.0 { LINE_RISE } else { f64::INFINITY };
         }
         // Refused clients come again and are refused again: what is offered grows with refusing, and what
         // was let in, over the line of that time, tells how many there are to begin with.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -373,3 +373,34 @@
     let after = least_level(&play.book);
     assert!(after > before - 0.1, "{before}, then {after}");
 }
+
+/// Guards against silence taken for rest: collectors that are cut off for some seconds bring no sums, all
+/// that fades is near nothing, and what comes after would be refused as a tenfold jump, and trust lost.
+#[test]
+fn what_was_known_holds_while_no_reports_come() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    play.round(&open(100.0, ready(6, 2), vec![join(0, 0), join(1, 1)]));
+    for n in 1..=10 {
+        play.round(&second(100.0 + f64::from(n), 2, 30.0, 0.2));
+    }
+    let part = play.book.part(0, 0);
+    for n in 1..=20 {
+        play.round(&at(110.0 + 0.25 * f64::from(n)));
+    }
+    for n in 16..=22 {
+        play.round(&second(100.0 + f64::from(n), 2, 30.0, 0.2));
+        assert_eq!(least_level(&play.book), 1.0, "after {n} s");
+        assert!((play.book.part(0, 0) - part).abs() < 0.05, "{:?}", play.book.tables);
+    }
+}
+
+/// Guards against refusing what the fleet takes with ease: growth alone is no overload.
+#[test]
+fn a_jump_that_nobody_feels_is_let_in() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    play.round(&open(100.0, ready(6, 2), vec![join(0, 0), join(1, 1)]));
+    for n in 1..=16 {
+        play.round(&second(100.0 + f64::from(n), 2, if n > 8 { 60.0 } else { 20.0 }, 0.2));
+        assert_eq!(least_level(&play.book), 1.0, "after {n} s");
+    }
+}
