Forget servers long gone, so that the decisions' book stays bounded

Need: the platform replaces servers by new ones with new names for as long as a pilot lives. Change: a server gone for 600 s that no table names is dropped before the next list is read; one that comes back after that is new. A test for what that means.

Also looked at, and not built: streams that fell silent and stay joined.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -49,6 +49,8 @@
 const FAILING: f64 = 0.25;
 /// s; a server dropped from a list that may err is kept while its last answer is younger.
 const SILENT_SPAN: f64 = 5.0;
+/// s; a server gone for so long is forgotten, and new if it comes back; releases take far less.
+const REMEMBERED: f64 = 600.0;
 /// Part of the trust that its answers speak for which a server keeps whatever its times and failures.
 const CREDIT: f64 = 0.7;
 /// Times; a zone holding more than this multiple of the fleet's mean is crowded (design).
@@ -286,6 +288,13 @@
     /// Takes in a list. A server that comes back without having restarted is what it was before.
     fn read_list(&mut self, list: &List, now: f64) {
         let fresh = self.servers.is_empty();
+        // Guards against a book that grows with each server that was ever listed, where they are replaced by
+        // new ones every day. Those that a table still names stay until it does not.
+        let tables = &self.tables;
+        self.servers.retain(|address, server| {
+            let lately = server.gone_at.is_none_or(|at| now - at < REMEMBERED);
+            lately || tables.iter().any(|table| table.lines.contains_key(address))
+        });
         // Where lists are known to err, a server that answers is not given up for being dropped.
         let err = self.rules.gone_does_not_bind;
         let doubted = |s: &Server| err && now - s.answered_at < SILENT_SPAN;
@@ -314,6 +323,10 @@
                 server.size = server.size.max(server.weight);
             }
         }
+        for server in self.servers.values_mut() {
+            let gone = server.readiness == Readiness::Gone;
+            server.gone_at = server.gone_at.or(Some(now)).filter(|_| gone);
+        }
     }
 
     /// Deals servers and proxies to groups; each group has a table for each zone, of its own servers.
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,8 @@
     /// The groups it is dealt to.
     pub groups: Vec<usize>,
     pub readiness: Readiness,
+    /// Since when it is gone, where it is.
+    pub gone_at: Option<f64>,
     pub weight: f64,
     /// The largest weight it was listed with; some lists lower the weight of what is busy.
     pub size: f64,
@@ -33,6 +35,7 @@
             zone: usize::from(entry.zone),
             groups: Vec::new(),
             readiness: entry.readiness,
+            gone_at: None,
             weight,
             size: weight,
             started: entry.started,
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -404,3 +404,17 @@
         assert_eq!(least_level(&play.book), 1.0, "after {n} s");
     }
 }
+
+/// Guards against memory that grows with each server that was ever listed; one that comes back after so
+/// long is new.
+#[test]
+fn a_server_long_gone_is_forgotten() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    play.round(&open(100.0, ready(3, 1), vec![join(0, 0)]));
+    play.round(&change(110.0, vec![entry(1, 0, Readiness::Gone, 0.0)]));
+    play.round(&change(111.0, Vec::new()));
+    play.round(&change(900.0, vec![entry(1, 0, Readiness::Ready, 0.0)]));
+    play.round(&at(902.0));
+    let part = play.book.part(0, 1);
+    assert!(part > 0.0 && part < 0.1, "{:?}", play.book.tables);
+}
