Take descriptors from strangers where the system has fewer than was told

Need: `accept` in pilot/src/platform/connections.rs answered a failure with a pause and a warning each 10 ms. Where the process may open fewer files than the configuration says, strangers held the last one until their time ran out, and the log filled meanwhile. Change: a failed accept sends the oldest that has not joined away; one warning for as long as it lasts. Measured: with 40 descriptors, 1024 told and 100 strangers, a proxy that dials is served (test).

--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -106,26 +106,37 @@
     /// Guards against strangers that hold descriptors which proxies need; a proxy dials and joins at once,
     /// so the oldest is the least likely to be one.
     fn make_room(&self) {
-        while self.open.borrow().len() >= self.most {
-            let Some(oldest) = self.unjoined.borrow_mut().pop_first() else { return };
-            self.close(oldest);
-            self.open.borrow_mut().remove(&oldest);
-        }
+        while self.open.borrow().len() >= self.most && self.send_oldest_away() {}
+    }
+
+    /// False where all have joined.
+    fn send_oldest_away(&self) -> bool {
+        let Some(oldest) = self.unjoined.borrow_mut().pop_first() else { return false };
+        self.close(oldest);
+        self.open.borrow_mut().remove(&oldest);
+        true
     }
 }
 
 pub async fn accept(socket: Async<TcpListener>, pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
+    let mut trouble = None;
     loop {
         match socket.accept().await {
             Ok((stream, _)) => {
+                trouble = None;
                 pilot.connections.make_room();
                 // Orders are small and must not wait for one another's receipts.
                 drop(stream.get_ref().set_nodelay(true));
                 let (number, outbox) = pilot.connections.enter();
                 executor.spawn(serve(stream, number, outbox, pilot.clone())).detach();
             }
+            // Guards against limits that are lower than the configuration says: strangers must not hold the
+            // last descriptor. One line of the log for as long as it lasts.
             Err(e) => {
-                tracing::warn!(%e, "not accepted");
+                if trouble.replace(e.kind()) != Some(e.kind()) {
+                    tracing::warn!(%e, "not accepted");
+                }
+                pilot.connections.send_oldest_away();
                 Timer::after(Duration::from_secs_f64(PAUSE)).await;
             }
         }
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -38,11 +38,15 @@
 }
 
 impl Pilot {
-    /// Starts one and waits until it says where it listens.
     fn start(name: &str, configuration: &Value) -> Pilot {
+        Pilot::start_by(&mut Command::new(env!("CARGO_BIN_EXE_oatlever")), name, configuration)
+    }
+
+    /// Starts one and waits until it says where it listens.
+    fn start_by(program: &mut Command, name: &str, configuration: &Value) -> Pilot {
         let path = std::env::temp_dir().join(format!("oatlever-{}-{name}.json", std::process::id()));
         std::fs::write(&path, configuration.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_oatlever"))
+        let mut child = program
             .args(["platform", path.to_str().unwrap(), "--log", "json"])
             .stderr(Stdio::piped())
             .spawn()
@@ -171,6 +175,19 @@
     while proxy.hear().unwrap().expect("the proxy stays")["msg"] != "hb_ok" {}
 }
 
+/// Guards against a limit that is lower than the configuration says: strangers would hold the last
+/// descriptor, and no proxy could dial.
+#[test]
+fn descriptors_that_run_out_are_taken_from_strangers() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", "ulimit -n 40; exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_oatlever")]);
+    let pilot = Pilot::start_by(&mut shell, "few", &configuration(discovery.host, 1024));
+    let _strangers: Vec<Peer> = (0..100).map(|_| pilot.dial()).collect();
+    pilot.proxy(3, "s-1");
+}
+
 #[test]
 fn a_replaced_configuration_names_another_discovery() {
     let (first, second) = (Discovery::start().unwrap(), Discovery::start().unwrap());
