Ask the sessions who has joined, and keep one type for what is malformed

Need: read once more, the change held two things twice. `Desk.joined` repeated the proxies that `Sessions` knows, to be kept alike by hand; the adapter and the reader of settings each had the same `Malformed`, turned from one into the other. Change: `Sessions::proxies` in place of the set; the adapter uses the reader's type. Behaviour and tests as before.

--- a/instance/src/lib.rs
+++ b/instance/src/lib.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::fmt;
 
-/// What is wrong with the settings, and where.
+/// What is wrong with the input, the settings or what follows them, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Malformed(pub String);
 
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -58,7 +58,6 @@
     pub register: Register,
     round: Round,
     wakes: Wakes,
-    joined: BTreeSet<u16>,
     checking: BTreeSet<Address>,
     pub counts: Counts,
 }
@@ -86,7 +85,6 @@
             register: Register::default(),
             round: Round::default(),
             wakes: Wakes::default(),
-            joined: BTreeSet::new(),
             checking: BTreeSet::new(),
             counts: Counts::default(),
         }
@@ -133,7 +131,6 @@
         self.counts.joined += 1;
         if let Join::Proxy { proxy, zone, rate } = *join {
             self.publisher.forget(proxy);
-            self.joined.insert(proxy);
             self.round.streams.push(Stream { proxy, up: true, zone, rate });
         }
         Reaction::Joined(replaced)
@@ -169,7 +166,6 @@
         if let Some(proxy) = self.sessions.leave(connection) {
             self.counts.left += 1;
             self.publisher.forget(proxy);
-            self.joined.remove(&proxy);
             self.round.streams.push(Stream { proxy, up: false, zone: 0, rate: 0.0 });
         }
     }
@@ -216,7 +212,7 @@
         round.now = now;
         self.counts.rounds += 1;
         self.balancer.round(&round, &mut self.publisher);
-        let joined = self.joined.iter().copied();
+        let joined = self.sessions.proxies().map(|(proxy, _)| proxy);
         let (messages, chores) = self.publisher.finish(joined, &Known(&self.register));
         for (after, number) in chores.wakes {
             self.wakes.ask(now + after, number);
--- a/wirehost/src/lib.rs
+++ b/wirehost/src/lib.rs
@@ -6,17 +6,7 @@
 pub mod frame;
 pub mod host;
 
-use std::fmt;
-
-/// What is wrong with the input, and where.
-#[derive(Debug)]
-pub struct Malformed(pub String);
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+pub use oatlever_instance::Malformed;
 
 pub(crate) fn malformed<T>(what: impl Into<String>) -> Result<T, Malformed> {
     Err(Malformed(what.into()))
