Judge a query by the answer it was sent by, not by one that came on its way

Causes excluded: the pilot named no leaving server (its table had none for 7 s; no answer with that server is in any record after the drain was told). A terminal whose question was lost goes on with what it has (RFC 8767) and asks anew at the same time; when that answer overtakes the query, the judge took the query as sent by it, and so not as stale. Faulty lines: judge.rs, `answered.get` at an arrival, both for drains and for cold servers. Change: the record says by which answer each query was sent; the judge goes by that. Test with both orders.

--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug, Default)]
 struct Held {
     lines: Vec<(Ipv4Addr, u16)>,
+    /// When the answer came.
+    since: f64,
     until: f64,
 }
 
@@ -148,7 +150,7 @@
     /// Takes lines that were pushed.
     pub fn take(&self, world: &World, class: usize, lines: Vec<(Ipv4Addr, u16)>) {
         world.record.note(Event::Answer { asker: self.host, class: class as u8, lines: lines.clone() });
-        self.held.borrow_mut()[class] = Held { lines, until: f64::INFINITY };
+        self.held.borrow_mut()[class] = Held { lines, since: world.now(), until: f64::INFINITY };
     }
 
     /// Asks for a class anew. What is held stays in use where no answer comes (RFC 8767).
@@ -165,7 +167,8 @@
             let (asker, number) = (self.host, class as u8);
             world.record.note(Event::Answer { asker, class: number, lines: lines.clone() });
             let lifetime = if self.resolver { lifetime * world.script.keep } else { lifetime };
-            self.held.borrow_mut()[class] = Held { lines, until: world.now() + lifetime };
+            let since = world.now();
+            self.held.borrow_mut()[class] = Held { lines, since, until: since + lifetime };
             return true;
         }
         false
@@ -275,6 +278,7 @@
                 world.record.note(Event::Without { asker: self.host, class: class as u8 });
                 break;
             };
+            world.record.note(Event::Sent { query, answered: self.held.borrow()[class].since });
             let (at, ran) = (world.now(), self.attempt(&world, class, query, server, begun).await);
             self.count(class, server, ran == Some(true), world.now() - at);
             answered = ran == Some(true);
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -76,6 +76,9 @@
     // Since when each asker has had nothing to pick, by class.
     let mut without: BTreeMap<(Ipv4Addr, u8), f64> = BTreeMap::new();
     let mut answered: BTreeMap<(Ipv4Addr, u8), f64> = BTreeMap::new();
+    // The answer that each query was sent by. Guards against taking one that came while the query was on its
+    // way, as where an asker goes on with what it has and asks anew at the same time, for that one.
+    let mut sent: BTreeMap<u64, f64> = BTreeMap::new();
     let (mut pilot, mut seconds) = (None, BTreeMap::<u64, (f64, f64)>::new());
     for Entry { at, event } in entries {
         let at = *at;
@@ -139,9 +142,11 @@
                     verdict.breach(2, at, format!("query {query} ran at {before} and again at {server}"));
                 }
             }
-            Event::Arrival { asker, server, class, work, .. } => {
+            Event::Sent { query, answered } => drop(sent.insert(*query, *answered)),
+            Event::Arrival { asker, server, class, query, work } => {
+                let last = sent.get(query).or_else(|| answered.get(&(*asker, *class))).copied();
+                let last = last.unwrap_or(f64::NEG_INFINITY);
                 if let Some(Told::Left { since, binds: true }) = told.get(server) {
-                    let last = answered.get(&(*asker, *class)).copied().unwrap_or(f64::NEG_INFINITY);
                     let held = f64::from(script.lifetime) + script.overstay + SLACK;
                     // Whoever goes on with an answer that has run out, as nothing reached it (RFC 8767), goes
                     // by no word of the pilot's.
@@ -157,7 +162,6 @@
                 };
                 // Whoever was answered after the pilot knew of the start, or whose pilot has known it for
                 // the grace, could have known.
-                let last = answered.get(&(*asker, *class)).copied().unwrap_or(f64::NEG_INFINITY);
                 let could = state.known.is_some_and(|known| last > known || at - known > script.grace);
                 state.arrivals.push_back((at, *work, could));
                 state.arrivals.retain(|(then, ..)| at - then <= script.fall_within);
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -28,6 +28,12 @@
         asker: Ipv4Addr,
         class: u8,
     },
+    /// An asker sends a query by what it was answered at `answered`; an answer that comes while the query is
+    /// on its way is not what it went by.
+    Sent {
+        query: u64,
+        answered: f64,
+    },
     /// A query reached a server: its work in seconds of a core.
     Arrival {
         asker: Ipv4Addr,
--- a/standins/tests/judge.rs
+++ b/standins/tests/judge.rs
@@ -139,3 +139,18 @@
     let held = [told, answer(4.8), arrival(5.6, SERVER, 0.1)];
     assert_eq!(judged_by(lossy, "held-lost", &held).0, Some(1));
 }
+
+/// A query is on its way by what ran out long ago when the answer to a later question comes: it was sent by the
+/// old one, whatever came since.
+#[test]
+fn an_answer_that_comes_while_a_query_is_on_its_way_is_not_what_it_went_by() {
+    let told = json!({"at": 2.0, "told": [[SERVER, "draining", 1], [OTHER, "ready", 1]]});
+    let answer = json!({"at": 5.599, "answer": {"asker": RELAY, "class": 0, "lines": [[OTHER, 1]]}});
+    let sent = |answered: f64| json!({"at": 5.598, "sent": {"query": 9, "answered": answered}});
+    let mut lossy = script();
+    lossy["faults"] = json!([{"at": 2.0, "for": 6.0, "kind": "dns_lost", "part": 0.25}]);
+    let by_the_old = [told.clone(), sent(0.3), answer.clone(), arrival(5.6, SERVER, 0.1)];
+    assert_eq!(judged_by(lossy.clone(), "late-answer", &by_the_old).0, Some(0));
+    let by_the_new = [told, sent(5.5), answer, arrival(5.6, SERVER, 0.1)];
+    assert_eq!(judged_by(lossy, "fresh-answer", &by_the_new).0, Some(1));
+}
