Keep the watch on one connection, leave older lists aside, end silent streams

Watch: one connection for all calls, dialled anew once where the other side ended it; an older version, a cut or odd answer leaves the list as it is, with pauses of 0.1 to 0.8 s; a call to ask anew is kept where nobody is listening. Silence: a proxy that owes an answer to a mark and says nothing for 5 report periods and the longest way is taken for gone, as long as most who joined speak. Memory: messages that have begun may take a quarter of the limit together, however many have joined.

--- a/fetch/src/lib.rs
+++ b/fetch/src/lib.rs
@@ -1,12 +1,15 @@
-//! A bounded HTTP GET: one connection, one answer, a limit on time and on bytes.
+//! Bounded HTTP GETs: one on a connection of its own with a limit on time, or many on a kept one.
 
 use async_io::{Async, Timer};
 use futures_lite::future;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
+use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
+use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::time::Duration;
 
 /// A place to read, `http://address:port/path`.
@@ -54,37 +57,75 @@
     }
 }
 
-async fn ask(place: &Place, from: Option<SocketAddr>, most_bytes: usize) -> Result<Answer, Failure> {
-    let stream = connect(place.host, from).await.map_err(Failure::Connect)?;
-    let broken = |e: hyper::Error| Failure::Broken(e.to_string());
-    let io = FuturesIo::new(stream);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.map_err(broken)?;
-    let request = hyper::Request::get(&place.path)
-        .header("host", place.host.to_string())
-        .header("connection", "close")
-        .body(Empty::<Bytes>::new())
-        .map_err(|e| Failure::Broken(e.to_string()))?;
-    let answered = async {
-        let response = sender.send_request(request).await.map_err(broken)?;
-        let status = response.status().as_u16();
-        let date = response.headers().get("date").and_then(|d| d.to_str().ok()).map(str::to_string);
-        let body = Limited::new(response.into_body(), most_bytes).collect().await.map_err(|e| {
-            match e.downcast_ref::<http_body_util::LengthLimitError>() {
-                Some(_) => Failure::TooLarge(most_bytes),
-                None => Failure::Broken(e.to_string()),
-            }
-        })?;
-        Ok(Answer { status, date, body: body.to_bytes().to_vec() })
-    };
-    // The connection only carries the exchange; when it ends first, the exchange says why.
-    let carry = async {
-        let ended = connection.await;
-        match ended {
-            Err(e) => Err(broken(e)),
-            Ok(()) => future::pending().await,
+/// A connection that may carry one call after the other.
+pub struct Connection {
+    host: SocketAddr,
+    sender: SendRequest<Empty<Bytes>>,
+    /// Carries the bytes while a call is under way; none once it has ended.
+    carrier: Option<Pin<Box<dyn Future<Output = hyper::Result<()>>>>>,
+}
+
+impl Connection {
+    /// Dials, from a local address if one is named. Has no limit on time. Errors: no connection.
+    pub async fn dial(host: SocketAddr, from: Option<SocketAddr>) -> Result<Self, Failure> {
+        let stream = connect(host, from).await.map_err(Failure::Connect)?;
+        let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await;
+        let (sender, carrier) = handshake.map_err(broken)?;
+        Ok(Connection { host, sender, carrier: Some(Box::pin(carrier)) })
+    }
+
+    pub fn host(&self) -> SocketAddr {
+        self.host
+    }
+
+    /// Asks for a path; `last` tells the other side that no call follows. Has no limit on time; one that is
+    /// given up on under way must not be followed by another. Errors: the connection broke, or more than
+    /// `most_bytes` came.
+    pub async fn get(&mut self, path: &str, last: bool, most_bytes: usize) -> Result<Answer, Failure> {
+        let mut request = hyper::Request::get(path).header("host", self.host.to_string());
+        if last {
+            request = request.header("connection", "close");
         }
+        let request = request.body(Empty::<Bytes>::new()).map_err(|e| Failure::Broken(e.to_string()))?;
+        let (sender, carrier) = (&mut self.sender, &mut self.carrier);
+        let answered = async {
+            // A new connection takes a call once it is being carried.
+            sender.ready().await.map_err(broken)?;
+            let response = sender.send_request(request).await.map_err(broken)?;
+            let status = response.status().as_u16();
+            let date = response.headers().get("date").and_then(|d| d.to_str().ok()).map(str::to_string);
+            let body = Limited::new(response.into_body(), most_bytes).collect().await.map_err(|e| {
+                match e.downcast_ref::<http_body_util::LengthLimitError>() {
+                    Some(_) => Failure::TooLarge(most_bytes),
+                    None => Failure::Broken(e.to_string()),
+                }
+            })?;
+            Ok(Answer { status, date, body: body.to_bytes().to_vec() })
+        };
+        // It only carries the exchange; when it ends first, the exchange says why.
+        let carry = async {
+            if let Some(carrying) = carrier {
+                let ended = carrying.await;
+                *carrier = None;
+                ended.map_err(broken)?;
+            }
+            future::pending().await
+        };
+        future::or(answered, carry).await
+    }
+}
+
+fn broken(e: hyper::Error) -> Failure {
+    Failure::Broken(e.to_string())
+}
+
+/// What `work` comes to, within `patience` seconds.
+pub async fn within<T>(patience: f64, work: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let late = async {
+        Timer::after(Duration::from_secs_f64(patience)).await;
+        Err(Failure::TooLate(patience))
     };
-    future::or(answered, carry).await
+    future::or(work, late).await
 }
 
 /// Connects, from a given local address where one is named.
@@ -124,9 +165,6 @@
     patience: f64,
     most_bytes: usize,
 ) -> Result<Answer, Failure> {
-    let late = async {
-        Timer::after(Duration::from_secs_f64(patience)).await;
-        Err(Failure::TooLate(patience))
-    };
-    future::or(ask(place, from, most_bytes), late).await
+    let asked = async { Connection::dial(place.host, from).await?.get(&place.path, true, most_bytes).await };
+    within(patience, asked).await
 }
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -51,12 +51,17 @@
     /// Those that have not joined, the oldest first.
     unjoined: RefCell<BTreeSet<Connection>>,
     buffer: RefCell<Vec<u8>>,
+    /// Bytes of messages that have begun and not ended, on all connections; and how many there may be.
+    unfinished: Cell<usize>,
+    most_unfinished: usize,
 }
 
 impl Connections {
-    pub fn new(most: usize) -> Self {
+    pub fn new(most: usize, most_unfinished: usize) -> Self {
         Connections {
             most,
+            unfinished: Cell::new(0),
+            most_unfinished,
             next: Cell::new(0),
             open: RefCell::default(),
             unjoined: RefCell::default(),
@@ -82,7 +87,7 @@
         outbox.news.notify(usize::MAX);
     }
 
-    fn close(&self, connection: Connection) {
+    pub fn close(&self, connection: Connection) {
         if let Some(outbox) = self.open.borrow().get(&connection) {
             outbox.close();
         }
@@ -174,10 +179,45 @@
     pilot.tell();
 }
 
+/// What one connection has sent of a message that has not ended, counted with that of all others.
+struct Unfinished<'a> {
+    lines: Lines,
+    counted: usize,
+    connections: &'a Connections,
+}
+
+impl Unfinished<'_> {
+    /// Bytes that a message may have. Guards against a fleet that has joined and sends long messages at once:
+    /// together they would fill the memory, as each may be longer by far than any that is sent in earnest.
+    fn longest(&self, joined: bool) -> usize {
+        let connections = self.connections;
+        let others = connections.unfinished.get() - self.counted;
+        let left = connections.most_unfinished.saturating_sub(others);
+        if joined {
+            LONGEST.min(left).max(LONGEST_FIRST)
+        } else {
+            LONGEST_FIRST
+        }
+    }
+
+    fn count(&mut self) {
+        let all = &self.connections.unfinished;
+        all.set(all.get() - self.counted + self.lines.kept());
+        self.counted = self.lines.kept();
+    }
+}
+
+impl Drop for Unfinished<'_> {
+    fn drop(&mut self) {
+        self.lines = Lines::default();
+        self.count();
+    }
+}
+
 async fn hear(stream: &Async<TcpStream>, number: Connection, pilot: &Pilot) -> End {
-    let mut lines = Lines::default();
+    let mut begun = Unfinished { lines: Lines::default(), counted: 0, connections: &pilot.connections };
     loop {
-        match read(stream, &mut lines, number, pilot) {
+        match read(stream, &mut begun, number, pilot) {
             // One that never stops sending must leave turns to the others.
             Ok(None) => future::yield_now().await,
             Ok(Some(end)) => return end,
@@ -195,24 +235,25 @@
 /// Takes in what can be read at once; tells where that was the end.
 fn read(
     stream: &Async<TcpStream>,
-    lines: &mut Lines,
+    begun: &mut Unfinished,
     number: Connection,
     pilot: &Pilot,
 ) -> io::Result<Option<End>> {
     let mut buffer = pilot.connections.buffer.borrow_mut();
     Ok(match stream.get_ref().read(&mut buffer)? {
         0 => Some(End::Theirs),
-        n if take(lines, &buffer[..n], number, pilot) => None,
+        n if take(begun, &buffer[..n], number, pilot) => None,
         _ => Some(End::Refused),
     })
 }
 
 /// Takes in bytes; false where the connection may not go on.
-fn take(lines: &mut Lines, bytes: &[u8], number: Connection, pilot: &Pilot) -> bool {
-    let longest = || if pilot.desk.borrow().has_joined(number) { LONGEST } else { LONGEST_FIRST };
-    let mut good = true;
-    let cut = lines.cut(bytes, longest, |line| {
-        let reaction = pilot.desk.borrow_mut().line(number, line);
+fn take(begun: &mut Unfinished, bytes: &[u8], number: Connection, pilot: &Pilot) -> bool {
+    let (now, mut good) = (pilot.clock.now(), true);
+    let [stranger, joined] = [false, true].map(|joined| begun.longest(joined));
+    let longest = || if pilot.desk.borrow().has_joined(number) { joined } else { stranger };
+    let cut = begun.lines.cut(bytes, longest, |line| {
+        let reaction = pilot.desk.borrow_mut().line(number, line, now);
         match reaction {
             Reaction::Nothing => {}
             Reaction::Answer(bytes) => pilot.connections.say(number, bytes.into()),
@@ -229,6 +270,7 @@
         }
         good
     });
+    begun.count();
     pilot.tell();
     good && cut.is_ok()
 }
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -6,7 +6,7 @@
 use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream, Tries};
 use oatlever_instance::Start;
 use oatlever_platform::message::{self, Join, Message, Wrong, ALIVE};
-use oatlever_platform::{Connection, Names, Publisher, Role, ServerNames, Sessions};
+use oatlever_platform::{patience, Connection, Names, Publisher, Role, ServerNames, Sessions};
 use oatlever_roster::platform::{PlatformDocument, Register};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -22,6 +22,8 @@
     pub refused: u64,
     pub joined: u64,
     pub left: u64,
+    /// Those of them that were taken for gone as they owed a word for too long.
+    pub silent: u64,
     pub lists: u64,
     pub lists_missed: u64,
     pub written: u64,
@@ -48,6 +50,8 @@
     pub checks: Vec<Address>,
     /// The list is to be followed, or read whole.
     pub ask_list: bool,
+    /// Connections that have fallen silent, to be closed.
+    pub silent: Vec<Connection>,
 }
 
 pub struct Desk {
@@ -59,6 +63,8 @@
     round: Round,
     wakes: Wakes,
     checking: BTreeSet<Address>,
+    /// s; how long a proxy may owe a word.
+    patience: f64,
     pub counts: Counts,
 }
 
@@ -78,6 +84,7 @@
             proxies: start.site.proxies as usize,
         };
         Desk {
+            patience: patience(start.site.report_period, start.channel.longest_way),
             publisher: Publisher::new(names.classes.clone()),
             balancer: Balancer::new(start.site, start.classes, start.channel, start.rules, seed),
             names,
@@ -95,13 +102,14 @@
     }
 
     /// Takes in a line that came on a connection.
-    pub fn line(&mut self, connection: Connection, line: &[u8]) -> Reaction {
+    pub fn line(&mut self, connection: Connection, line: &[u8], now: f64) -> Reaction {
         self.counts.messages += 1;
+        self.sessions.hear(connection, now);
         let message = message::read(line, &self.names);
         let role = self.sessions.role(connection);
         match (message, role) {
             (Ok(Message::SignOfLife), _) => Reaction::Answer(ALIVE),
-            (Ok(Message::Join(join)), None) => self.join(connection, &join),
+            (Ok(Message::Join(join)), None) => self.join(connection, &join, now),
             (Ok(_), None) => self.refuse("a report before joining".to_string()),
             (Err(what), None) => self.refuse(what.to_string()),
             // What follows on it means nothing, so whoever it was has left.
@@ -126,8 +134,8 @@
         Reaction::Nothing
     }
 
-    fn join(&mut self, connection: Connection, join: &Join) -> Reaction {
-        let Some(replaced) = self.sessions.join(connection, join) else { return Reaction::Nothing };
+    fn join(&mut self, connection: Connection, join: &Join, now: f64) -> Reaction {
+        let Some(replaced) = self.sessions.join(connection, join, now) else { return Reaction::Nothing };
         self.counts.joined += 1;
         if let Join::Proxy { proxy, zone, rate } = *join {
             self.publisher.forget(proxy);
@@ -170,17 +178,19 @@
         }
     }
 
-    /// A list of servers, or news of it; `cached` is the one that a pilot starts with.
-    pub fn list(&mut self, document: &PlatformDocument, cached: bool) {
+    /// A list of servers, or news of it; `cached` is the one that a pilot starts with. Errors: it is older than
+    /// what is held.
+    pub fn list(&mut self, document: &PlatformDocument, cached: bool) -> Result<(), String> {
+        let list = self.register.take(document, cached)?;
         if !document.mistakes.is_empty() {
             tracing::warn!(mistakes = document.mistakes.join("; "), "list of servers read in part");
         }
         self.counts.lists += 1;
-        let list = self.register.take(document, cached);
         // A watch that ended without news says nothing that a round should take up.
         if list.news != ListNews::Changes || !list.entries.is_empty() {
             self.round.lists.push(list);
         }
+        Ok(())
     }
 
     pub fn list_missed(&mut self, is_news: bool) {
@@ -223,9 +233,14 @@
         let checks = chores.checks.into_iter().filter(|server| self.checking.insert(*server)).collect();
         let to = |(proxy, bytes)| Some((self.sessions.of(proxy)?, bytes));
         let messages: Vec<_> = messages.into_iter().filter_map(to).collect();
+        for (connection, _) in messages.iter().filter(|_| chores.marked) {
+            self.sessions.ask(*connection, now);
+        }
         self.counts.written += messages.len() as u64;
+        let silent = self.sessions.silent(now, self.patience);
+        self.counts.silent += silent.len() as u64;
         self.counts.longest_round = self.counts.longest_round.max(begun.elapsed().as_secs_f64() * 1e3);
-        Done { messages, checks, ask_list: chores.follow || chores.fetch }
+        Done { messages, checks, ask_list: chores.follow || chores.fetch, silent }
     }
 
     /// When [`Desk::step`] has something to do next, if nothing comes in before.
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -3,7 +3,7 @@
 use super::Pilot;
 use async_io::Timer;
 use futures_lite::future;
-use oatlever_roster::platform::ask;
+use oatlever_roster::platform::Watch;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,46 +14,52 @@
 /// s; between an answer and the next call: a watch goes on only where that comes soon, and one that
 /// answers at once without end must not take all of the core.
 const PAUSE: f64 = 0.02;
-/// s; after a call that failed at once, as while an address is new.
-const PAUSE_FAILED: f64 = 0.2;
+/// s; after a call that failed at once, as while an address is new; twice as long after each further one, up
+/// to the longest: what is told must be taken up within seconds.
+const PAUSE_FAILED: f64 = 0.1;
+const LONGEST_PAUSE: f64 = 0.8;
 
 /// Runs for ever. A list that is followed only on request is asked for where the decisions say so.
 pub async fn follow(pilot: Rc<Pilot>, zones: Vec<String>, always: bool) {
     let (mut whole, mut following, mut trouble) = (true, always, String::new());
+    let (mut watch, mut pause_failed) = (Watch::default(), PAUSE_FAILED);
     loop {
-        let anew = pilot.ask_anew.listen();
-        if !following {
-            anew.await;
+        let told = pilot.told_to_ask.listen();
+        if pilot.ask_anew.take() {
             (whole, following) = (true, true);
+        }
+        if !following {
+            told.await;
             continue;
         }
         let after = pilot.desk.borrow().register.version.filter(|_| !whole);
-        let asked = async { Some(ask(pilot.discovery.get(), after, &zones, (WAIT, PATIENCE)).await) };
-        let started_anew = async {
-            anew.await;
+        let asked = async { Some(watch.ask(pilot.discovery.get(), after, &zones, (WAIT, PATIENCE)).await) };
+        let told_anew = async {
+            told.await;
             None
         };
-        let pause = match future::or(asked, started_anew).await {
-            None => {
-                whole = true;
-                continue;
-            }
-            Some(Ok(document)) => {
+        let Some(answer) = future::or(asked, told_anew).await else { continue };
+        let taken = answer.and_then(|document| {
+            pilot.desk.borrow_mut().list(&document, false)?;
+            Ok(document.version)
+        });
+        let pause = match taken {
+            Ok(version) => {
                 if !std::mem::take(&mut trouble).is_empty() {
-                    tracing::info!(version = document.version, "list of servers is told again");
+                    tracing::info!(version, "list of servers is told again");
                 }
-                pilot.desk.borrow_mut().list(&document, false);
-                whole = false;
+                (whole, pause_failed) = (false, PAUSE_FAILED);
                 PAUSE
             }
-            Some(Err(what)) => {
+            Err(what) => {
                 if what != trouble {
                     tracing::warn!(%what, "no list of servers");
                     trouble = what;
                 }
                 pilot.desk.borrow_mut().list_missed(!always);
                 following = always;
-                PAUSE_FAILED
+                let longer = (pause_failed * 2.0).min(LONGEST_PAUSE);
+                std::mem::replace(&mut pause_failed, longer)
             }
         };
         pilot.tell();
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -31,6 +31,8 @@
 /// Descriptors that are not connections of proxies and strangers: standard streams, the reactor's, the
 /// listener, signals, calls to discovery and checks, with a few to spare.
 const OWN_DESCRIPTORS: usize = 32;
+/// One part in so many of the memory may be held by messages that have begun and not ended.
+const UNFINISHED_PART: usize = 4;
 /// Health checks under way at once, each a descriptor.
 const CHECKS_AT_ONCE: usize = 8;
 /// What is asked of a server to see whether it runs.
@@ -48,14 +50,20 @@
     discovery: Cell<SocketAddr>,
     /// Something came in that a round should take up.
     news: Event,
-    /// The list is to be asked for anew, and whole.
-    ask_anew: Event,
+    /// The list is to be asked for anew, and whole; kept here as nobody may be listening when it is told.
+    ask_anew: Cell<bool>,
+    told_to_ask: Event,
 }
 
 impl Pilot {
     fn tell(&self) {
         self.news.notify(usize::MAX);
     }
+
+    fn ask_list(&self) {
+        self.ask_anew.set(true);
+        self.told_to_ask.notify(usize::MAX);
+    }
 }
 
 async fn rounds(pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>, names: oatlever_instance::Names) {
@@ -71,8 +79,12 @@
         for server in done.checks {
             executor.spawn(check(pilot.clone(), server, probes.clone(), patience)).detach();
         }
+        for connection in done.silent {
+            tracing::info!(connection, "fell silent");
+            pilot.connections.close(connection);
+        }
         if done.ask_list {
-            pilot.ask_anew.notify(usize::MAX);
+            pilot.ask_list();
         }
         let next = pilot.desk.borrow().next_at();
         let wait = async {
@@ -89,11 +101,13 @@
 
 async fn check(pilot: Rc<Pilot>, server: Address, probes: Rc<Probes>, patience: f64) {
     let host = pilot.desk.borrow().register.host(server);
-    if let Some(host) = host {
-        let fine = probes.is_fine(host, HEALTH.to_string(), patience).await;
-        pilot.desk.borrow_mut().checked(server, fine);
-        pilot.tell();
-    }
+    let fine = match host {
+        Some(host) => probes.is_fine(host, HEALTH.to_string(), patience).await,
+        // Forgotten meanwhile: nobody is there to ask, and the decisions are owed an answer all the same.
+        None => false,
+    };
+    pilot.desk.borrow_mut().checked(server, fine);
+    pilot.tell();
 }
 
 /// Takes up a replaced configuration; of it only discovery's address can change under a running pilot.
@@ -102,7 +116,7 @@
         Ok(fresh) => {
             tracing::info!(discovery = %fresh.discovery, "configuration taken up");
             pilot.discovery.set(fresh.discovery);
-            pilot.ask_anew.notify(usize::MAX);
+            pilot.ask_list();
             true
         }
         Err(what) => {
@@ -120,7 +134,8 @@
 pub fn run(configuration: Configuration, path: PathBuf) -> Result<(), String> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
-    let Configuration { name, listen: host, discovery, seed, sockets, known, start, names } = configuration;
+    let Configuration { name, listen: host, discovery, seed, sockets, memory, known, start, names } =
+        configuration;
     let socket = listen(host).and_then(Async::new);
     let socket = socket.map_err(|e| format!("cannot listen on {host}: {e}"))?;
     // The port is the system's where any is asked for by 0.
@@ -129,14 +144,18 @@
     let clock = Clock::unix();
     let follows = !start.site.list_on_request;
     let mut desk = Desk::new(start, &names, seed);
-    desk.list(&known, true);
+    desk.list(&known, true)?;
     let pilot = Rc::new(Pilot {
         clock,
         desk: RefCell::new(desk),
-        connections: Connections::new(sockets.saturating_sub(OWN_DESCRIPTORS).max(1)),
+        connections: Connections::new(
+            sockets.saturating_sub(OWN_DESCRIPTORS).max(1),
+            memory / UNFINISHED_PART,
+        ),
         discovery: Cell::new(discovery),
         news: Event::new(),
-        ask_anew: Event::new(),
+        ask_anew: Cell::new(false),
+        told_to_ask: Event::new(),
     });
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(%name, %host, %discovery, sockets, "serving the platform");
@@ -147,17 +166,23 @@
             executor.spawn(connections::accept(socket, pilot.clone(), executor.clone())),
             executor.spawn(tell_counts(pilot.clone())),
         ];
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => {
-                    for _ in 0..RELOADS {
-                        if reload(&pilot, &path) {
-                            break;
-                        }
-                        Timer::after(Duration::from_secs_f64(RELOAD_PAUSE)).await;
-                    }
+        let mut tries = 0;
+        loop {
+            // A configuration is tried again beside the wait for signals: the one to end must not wait for it.
+            let again = async {
+                if tries == 0 {
+                    future::pending::<()>().await;
                 }
-                _ => break,
+                Timer::after(Duration::from_secs_f64(RELOAD_PAUSE)).await;
+                None
+            };
+            tries = match future::or(async { Some(signals.next().await) }, again).await {
+                None => tries - 1,
+                Some(Some(Ok(Signal::Hup))) => RELOADS,
+                Some(_) => break,
+            };
+            if reload(&pilot, &path) {
+                tries = 0;
             }
         }
         tracing::info!("asked to end");
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -1,6 +1,6 @@
 //! The pilot on the platform as a process, against a small platform on loopback.
 
-use oatlever_standins::platform::{server, Discovery, Peer};
+use oatlever_standins::platform::{server, Discovery, Peer, Spoilt};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -116,6 +116,63 @@
     pilot.proxy(3, "s-old");
 }
 
+/// Whatever is wrong with an answer, the list that is held stays in use and is asked for again: the proxy keeps
+/// its lines all the while, and learns what changes after.
+#[test]
+fn answers_of_no_use_leave_the_list_as_it_is() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    discovery.say("s-2", "up");
+    let pilot = Pilot::start("faults", &configuration(discovery.host, 64));
+    let mut peer = pilot.proxy(3, "s-2");
+    assert!(discovery.is_asked("index=", LONG));
+    let ways = [Spoilt::Cut, Spoilt::NoList, Spoilt::Older, Spoilt::HungUp, Spoilt::Silent, Spoilt::Cut];
+    assert!(discovery.spoil(&ways, LONG));
+    discovery.say("s-1", "draining");
+    let mut lost = false;
+    assert!(peer.holds(LONG, |table| {
+        lost |= !table.contains_key("s-2");
+        !table.contains_key("s-1")
+    }));
+    assert!(!lost, "{:?}", peer.table);
+}
+
+/// Guards against a descriptor and a handshake for each call, and against a watch that starts anew each time.
+#[test]
+fn the_watch_stays_on_one_connection() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let pilot = Pilot::start("kept", &configuration(discovery.host, 64));
+    let mut peer = pilot.proxy(3, "s-1");
+    for n in 0..6 {
+        discovery.say("s-2", if n % 2 == 0 { "up" } else { "draining" });
+        assert!(peer.holds(LONG, |table| table.contains_key("s-2") == (n % 2 == 0)));
+    }
+    let (calls, connections) = discovery.calls();
+    assert!(calls >= 6 && connections == 1, "{calls} calls on {connections} connections");
+}
+
+/// Guards against a proxy counted for good whose machine vanished without closing its stream: it owes answers to
+/// marks, and others speak. Those that answer stay.
+#[test]
+fn a_stream_that_fell_silent_is_ended_and_others_stay() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let mut short = configuration(discovery.host, 64);
+    short["settings"]["family-info"]["period-ms"] = json!(50.0);
+    let pilot = Pilot::start("quiet", &short);
+    let mut silent = pilot.proxy(3, "s-1");
+    let mut others = [pilot.proxy(4, "s-1"), pilot.proxy(5, "s-1")];
+    let ended = std::thread::spawn(move || while let Some(_late) = silent.hear().unwrap() {});
+    while !ended.is_finished() {
+        for peer in &mut others {
+            peer.say(json!({"msg": "hb"})).unwrap();
+            while peer.hear().unwrap().expect("the stream goes on")["msg"] != "hb_ok" {}
+        }
+    }
+    ended.join().unwrap();
+}
+
 /// A wrong field spoils its message and no other; what can't be read ends the connection.
 #[test]
 fn spoilt_messages_are_left_aside_and_garbage_ends_a_stream() {
--- a/roster/src/platform.rs
+++ b/roster/src/platform.rs
@@ -18,6 +18,8 @@
 const REMEMBERED: usize = 512;
 /// Bytes; a document is no longer: a list of tens of thousands of servers fits.
 const LONGEST_DOCUMENT: usize = 8 << 20;
+/// Where the list is.
+const PATH: &str = "/v1/endpoints";
 
 /// One server of a document.
 #[derive(Clone, Debug, PartialEq)]
@@ -130,8 +132,14 @@
 
 impl Register {
     /// Takes in a document and tells what it means to the decisions. The list that a pilot starts with
-    /// counts as `cached`.
-    pub fn take(&mut self, document: &PlatformDocument, cached: bool) -> List {
+    /// counts as `cached`. Errors: it is older than what is held, which stays.
+    ///
+    /// Guards against a source that lags behind, as one that a pilot is moved to: servers that drain or
+    /// are removed would be taken for open ones.
+    pub fn take(&mut self, document: &PlatformDocument, cached: bool) -> Result<List, String> {
+        if let Some(held) = self.version.filter(|held| document.version < *held) {
+            return Err(format!("version {} is older than {held}, which is held", document.version));
+        }
         let whole = document.whole && document.mistakes.is_empty();
         if whole {
             for (_, listed) in self.listed.iter_mut() {
@@ -151,7 +159,7 @@
             (true, false) => ListNews::Full,
             (false, _) => ListNews::Changes,
         };
-        List { news, entries }
+        Ok(List { news, entries })
     }
 
     fn entry(&mut self, server: &PlatformServer) -> Entry {
@@ -204,23 +212,51 @@
     }
 }
 
-/// Asks for the list: all of it, or, after a version, for what is newer, waiting up to `wait` seconds for
-/// something to tell. Errors: no answer within `patience` seconds more, or one that is no list.
-pub async fn ask(
-    host: SocketAddr,
-    after: Option<u64>,
-    zones: &[String],
-    (wait, patience): (f64, f64),
-) -> Result<PlatformDocument, String> {
-    let (query, wait) = match after {
-        None => (String::new(), 0.0),
-        Some(version) => (format!("?index={version}&wait={}", (wait * 1000.0) as u64), wait),
-    };
-    let place = fetch::Place { host, path: format!("/v1/endpoints{query}") };
-    let got = fetch::get(&place, None, wait + patience, LONGEST_DOCUMENT).await;
-    let got = got.map_err(|e| format!("{host}: {e}"))?;
-    if got.status != 200 {
-        return Err(format!("{host}: status {}", got.status));
+/// Asks for the list, one call after the other on one connection for as long as that lasts.
+#[derive(Default)]
+pub struct Watch {
+    kept: Option<fetch::Connection>,
+}
+
+impl Watch {
+    /// Asks for all of the list, or, after a version, for what is newer, waiting up to `wait` seconds for
+    /// something to tell. May be given up on under way. Errors: no answer within `patience` seconds more, or
+    /// one that is no list.
+    pub async fn ask(
+        &mut self,
+        host: SocketAddr,
+        after: Option<u64>,
+        zones: &[String],
+        (wait, patience): (f64, f64),
+    ) -> Result<PlatformDocument, String> {
+        let (path, wait) = match after {
+            None => (PATH.to_string(), 0.0),
+            Some(version) => (format!("{PATH}?index={version}&wait={}", (wait * 1000.0) as u64), wait),
+        };
+        // Taken out, so that a call which is given up on under way leaves nothing behind.
+        let kept = self.kept.take().filter(|kept| kept.host() == host);
+        let asked = async {
+            if let Some(mut kept) = kept {
+                // Whoever listens there may have ended it meanwhile; then it is dialled anew, once.
+                match kept.get(&path, false, LONGEST_DOCUMENT).await {
+                    Err(fetch::Failure::Broken(_)) => {}
+                    other => return other.map(|answer| (kept, answer)),
+                }
+            }
+            let mut fresh = fetch::Connection::dial(host, None).await?;
+            let answer = fresh.get(&path, false, LONGEST_DOCUMENT).await?;
+            Ok((fresh, answer))
+        };
+        let got = fetch::within(wait + patience, asked).await;
+        let (kept, answer) = got.map_err(|e| format!("{host}: {e}"))?;
+        if answer.status != 200 {
+            return Err(format!("{host}: status {}", answer.status));
+        }
+        let document = PlatformDocument::read(&answer.body, zones).map_err(|e| format!("{host}: {e}"))?;
+        if after.is_none() && !document.whole {
+            return Err(format!("{host}: changes where the whole list was asked for"));
+        }
+        self.kept = Some(kept);
+        Ok(document)
     }
-    PlatformDocument::read(&got.body, zones).map_err(|e| format!("{host}: {e}"))
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,7 +2,7 @@
 //! Plain blocking sockets and a thread each.
 
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -20,6 +20,22 @@
     /// By id: the version that brought it, and what it says.
     servers: BTreeMap<String, (u64, Value)>,
     calls: Vec<String>,
+    connections: usize,
+    /// What is wrong with the next answers.
+    spoilt: VecDeque<Spoilt>,
+}
+
+/// A way in which an answer of discovery is of no use.
+#[derive(Clone, Copy, Debug)]
+pub enum Spoilt {
+    /// Half of it comes, then the end.
+    Cut,
+    NoList,
+    /// An empty list of a version that is long past.
+    Older,
+    /// None comes, and the connection stays.
+    Silent,
+    HungUp,
 }
 
 /// Discovery: answers whole lists at once and watches when there is news.
@@ -53,6 +69,25 @@
         self.shared.1.notify_all();
     }
 
+    /// Spoils the next answers, each in its way, and waits until they were asked for; false where they are not
+    /// `within` that.
+    pub fn spoil(&self, ways: &[Spoilt], within: Duration) -> bool {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        held.spoilt.extend(ways);
+        // Whoever waits for news gets the first of them.
+        held.version += 1;
+        self.shared.1.notify_all();
+        let left = |state: &mut State| !state.spoilt.is_empty();
+        let (_held, late) = self.shared.1.wait_timeout_while(held, within, left).expect("no thread panics");
+        !late.timed_out()
+    }
+
+    /// Calls so far, and connections that they came on.
+    pub fn calls(&self) -> (usize, usize) {
+        let held = self.shared.0.lock().expect("no thread panics");
+        (held.calls.len(), held.connections)
+    }
+
     /// Waits for a call whose path has `part` in it; false where none comes `within` that.
     pub fn is_asked(&self, part: &str, within: Duration) -> bool {
         let held = self.shared.0.lock().expect("no thread panics");
@@ -62,33 +97,51 @@
     }
 }
 
+/// Answers one call after the other on a connection.
 fn answer(stream: TcpStream, shared: &(Mutex<State>, Condvar)) -> io::Result<()> {
+    shared.0.lock().expect("no thread panics").connections += 1;
     let mut reader = BufReader::new(stream.try_clone()?);
-    let mut first = String::new();
-    reader.read_line(&mut first)?;
-    let mut header = String::new();
-    while reader.read_line(&mut header)? > 2 {
-        header.clear();
-    }
-    let number = |key: &str| {
-        let value = first.split(key).nth(1)?.split(['&', ' ']).next()?;
-        value.parse::<u64>().ok()
-    };
-    let mut held = shared.0.lock().expect("no thread panics");
-    held.calls.push(first.clone());
-    shared.1.notify_all();
-    let index = number("index=");
-    if let (Some(index), Some(wait)) = (index, number("wait=")) {
-        let until = Duration::from_millis(wait);
-        let old = |state: &mut State| state.version <= index;
-        held = shared.1.wait_timeout_while(held, until, old).expect("no thread panics").0;
+    loop {
+        let mut first = String::new();
+        if reader.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        let mut header = String::new();
+        while reader.read_line(&mut header)? > 2 {
+            header.clear();
+        }
+        let number = |key: &str| {
+            let value = first.split(key).nth(1)?.split(['&', ' ']).next()?;
+            value.parse::<u64>().ok()
+        };
+        let mut held = shared.0.lock().expect("no thread panics");
+        held.calls.push(first.clone());
+        shared.1.notify_all();
+        let index = number("index=");
+        if let (Some(index), Some(wait)) = (index, number("wait=")) {
+            let until = Duration::from_millis(wait);
+            let old = |state: &mut State| state.version <= index && state.spoilt.is_empty();
+            held = shared.1.wait_timeout_while(held, until, old).expect("no thread panics").0;
+        }
+        let spoilt = held.spoilt.pop_front();
+        shared.1.notify_all();
+        let news = held.servers.values().filter(|(version, _)| index.is_none_or(|index| *version > index));
+        let servers: Vec<&Value> = news.map(|(_, server)| server).collect();
+        let body = match spoilt {
+            Some(Spoilt::NoList) => json!({"servers": "all"}),
+            Some(Spoilt::Older) => json!({"version": 0, "full": true, "servers": []}),
+            _ => json!({"version": held.version, "full": index.is_none(), "servers": servers}),
+        };
+        drop(held);
+        let body = body.to_string();
+        let told = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        match spoilt {
+            Some(Spoilt::HungUp) => return Ok(()),
+            Some(Spoilt::Silent) => return reader.read_line(&mut first).map(drop),
+            Some(Spoilt::Cut) => return (&stream).write_all(&told.as_bytes()[..told.len() - body.len() / 2]),
+            _ => (&stream).write_all(told.as_bytes())?,
+        }
     }
-    let news = held.servers.values().filter(|(version, _)| index.is_none_or(|index| *version > index));
-    let servers: Vec<&Value> = news.map(|(_, server)| server).collect();
-    let body = json!({"version": held.version, "full": index.is_none(), "servers": servers}).to_string();
-    drop(held);
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
-    (&stream).write_all((head + &body).as_bytes())
 }
 
 /// Whoever dials a pilot: a proxy, a collector or a stranger.
@@ -131,7 +184,11 @@
 
     /// Hears orders, and applies them, until the table is as wanted; false where the connection ends or
     /// `within` is over before.
-    pub fn holds(&mut self, within: Duration, wanted: impl Fn(&BTreeMap<String, f64>) -> bool) -> bool {
+    pub fn holds(
+        &mut self,
+        within: Duration,
+        mut wanted: impl FnMut(&BTreeMap<String, f64>) -> bool,
+    ) -> bool {
         let begun = Instant::now();
         while !wanted(&self.table) {
             match self.hear() {
