--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -173,6 +173,41 @@
     ended.join().unwrap();
 }
 
+/// Guards against what grows with every server that was ever listed and every stream that ever came: a pilot lives
+/// for months. Ids are replaced and streams come and go, some without a word more; when as many more have come as
+/// are ever remembered, memory and descriptors are where they were.
+#[cfg(target_os = "linux")]
+#[test]
+fn memory_and_descriptors_are_level_while_servers_and_streams_are_replaced() {
+    const BATCH: usize = 40;
+    const KIB: usize = 1024;
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-stays", "up");
+    let pilot = Pilot::start("level", &configuration(discovery.host, 64));
+    let process = PathBuf::from(format!("/proc/{}", pilot.child.id()));
+    let held = || {
+        let status = std::fs::read_to_string(process.join("status")).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        let kib: usize = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+        (kib, std::fs::read_dir(process.join("fd")).unwrap().count())
+    };
+    let mut seen = Vec::new();
+    for batch in 0..45 {
+        for n in 0..BATCH {
+            discovery.say(&format!("s-{}", batch * BATCH + n), "up");
+            if batch > 0 {
+                discovery.say(&format!("s-{}", (batch - 1) * BATCH + n), "removed");
+            }
+        }
+        let mut peers: Vec<Peer> = (0..9).map(|proxy| pilot.proxy(proxy, "s-stays")).collect();
+        peers[0].send(b"{\"msg\":\"client").unwrap();
+        seen.push(held());
+    }
+    let (before, after) = (seen[20], seen[44]);
+    assert!(after.0 < before.0 + 2 * KIB, "{seen:?} KiB and descriptors");
+    assert!(after.1 <= before.1 + 9, "{seen:?} KiB and descriptors");
+}
+
 /// A wrong field spoils its message and no other; what can't be read ends the connection.
 #[test]
 fn spoilt_messages_are_left_aside_and_garbage_ends_a_stream() {
@@ -245,6 +280,77 @@
     pilot.proxy(3, "s-1");
 }
 
+/// Guards against a fleet that has joined and begins long messages which it does not end: they may not fill the
+/// memory, and whoever says what it has to is heard.
+#[test]
+fn messages_without_end_share_a_part_of_the_memory() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let mut small = configuration(discovery.host, 64);
+    small["limits"]["memory_mb"] = json!(1);
+    let pilot = Pilot::start("endless", &small);
+    let mut peers: Vec<Peer> = (0..9).map(|proxy| pilot.proxy(proxy, "s-1")).collect();
+    let mut honest = peers.pop().unwrap();
+    // A quarter of 1 MiB holds two of them, and four of what is read of one at a time.
+    let begun = [b"{".as_slice(), &vec![b' '; 100 << 10]].concat();
+    for peer in &mut peers {
+        // Whoever is sent away may be so before it has written all.
+        let _ = peer.send(&begun);
+        honest.say(json!({"msg": "hb"})).unwrap();
+        while honest.hear().unwrap().expect("it stays")["msg"] != "hb_ok" {}
+    }
+    let mut heard = 0;
+    for peer in &mut peers {
+        let _ = peer.send(b"\"msg\":\"hb\"}\n");
+        while let Some(said) = peer.hear().unwrap() {
+            if said["msg"] == "hb_ok" {
+                heard += 1;
+                break;
+            }
+        }
+    }
+    assert!((1..=4).contains(&heard), "{heard} of {}", peers.len());
+}
+
+/// A pilot that is to end does so at once, also while a configuration is being tried again.
+#[test]
+fn the_word_to_end_does_not_wait_for_a_configuration() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let mut pilot = Pilot::start("end", &configuration(discovery.host, 64));
+    std::fs::write(&pilot.path, "{").unwrap();
+    pilot.signal("-HUP");
+    let asked = std::time::Instant::now();
+    pilot.signal("-TERM");
+    assert_eq!(pilot.child.wait().unwrap().code(), Some(0));
+    assert!(asked.elapsed() < Duration::from_millis(700), "{:?}", asked.elapsed());
+}
+
+/// The platform says the same in the environment; what the file leaves out is taken from there.
+#[test]
+fn the_environment_fills_in_what_the_configuration_leaves_out() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-2", "up");
+    let mut bare = configuration(discovery.host, 64);
+    for field in ["name", "listen", "discovery"] {
+        bare.as_object_mut().unwrap().remove(field);
+    }
+    let mut program = Command::new(env!("CARGO_BIN_EXE_oatlever"));
+    program.env("BALANCER_LISTEN", "127.0.0.1:0").env("BALANCER_DISCOVERY", discovery.host.to_string());
+    Pilot::start_by(&mut program, "bare", &bare).proxy(3, "s-2");
+    let path = std::env::temp_dir().join(format!("oatlever-{}-none.json", std::process::id()));
+    std::fs::write(&path, bare.to_string()).unwrap();
+    let told = Command::new(env!("CARGO_BIN_EXE_oatlever"))
+        .args(["platform", path.to_str().unwrap()])
+        .env_remove("BALANCER_LISTEN")
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(told.status.code(), Some(2));
+    let text = String::from_utf8(told.stderr).unwrap();
+    assert!(text.contains("`listen` is missing, and BALANCER_LISTEN is not set"), "{text}");
+}
+
 #[test]
 fn a_replaced_configuration_names_another_discovery() {
     let (first, second) = (Discovery::start().unwrap(), Discovery::start().unwrap());
