Tell what the pilot believes of load and health, and write no byte to a collector

Guess: demand fades between reports and is read at a fixed moment. Collectors, observation: reading PROTOCOL against the code. One sent away for what it says, or replaced by another, was written `reject`. Faulty lines: connections.rs, `joined` asked of the sessions after they had forgotten it. Change: a connection remembers that it has joined. Test: nothing comes to either. Tests besides: every field of every message left out or turned; discovery moved twice in a row.

--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -32,6 +32,8 @@
     waiting: RefCell<VecDeque<Rc<[u8]>>>,
     held: Cell<usize>,
     closed: Cell<bool>,
+    /// Whoever dialled has joined at some time.
+    joined: Cell<bool>,
     news: Event,
 }
 
@@ -101,6 +103,13 @@
         (number, outbox)
     }
 
+    fn has_joined(&self, connection: Connection) {
+        self.unjoined.borrow_mut().remove(&connection);
+        if let Some(outbox) = self.open.borrow().get(&connection) {
+            outbox.joined.set(true);
+        }
+    }
+
     fn leave(&self, connection: Connection) {
         self.open.borrow_mut().remove(&connection);
         self.unjoined.borrow_mut().remove(&connection);
@@ -161,7 +170,7 @@
 async fn serve(stream: Async<TcpStream>, number: Connection, outbox: Rc<Outbox>, pilot: Rc<Pilot>) {
     let deadline = async {
         Timer::at(Instant::now() + Duration::from_secs_f64(JOIN_WITHIN)).await;
-        if pilot.desk.borrow().has_joined(number) {
+        if outbox.joined.get() {
             future::pending().await
         } else {
             pilot.desk.borrow_mut().counts.refused += 1;
@@ -169,8 +178,8 @@
         }
     };
     let end = future::or(hear(&stream, number, &pilot), future::or(speak(&stream, &outbox), deadline)).await;
-    let joined = pilot.desk.borrow().has_joined(number);
-    if matches!(end, End::Refused) || matches!(end, End::Ours) && !joined {
+    // Guards against a byte for a collector that is sent away or replaced, which has no use for any.
+    if !matches!(end, End::Theirs) && !outbox.joined.get() {
         // Where it can't be written at once, the end of the connection says the same.
         drop(stream.get_ref().write(REFUSED));
     }
@@ -258,7 +267,7 @@
             Reaction::Nothing => {}
             Reaction::Answer(bytes) => pilot.connections.say(number, bytes.into()),
             Reaction::Joined(replaced) => {
-                pilot.connections.unjoined.borrow_mut().remove(&number);
+                pilot.connections.has_joined(number);
                 if let Some(old) = replaced {
                     pilot.connections.close(old);
                 }
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -3,7 +3,7 @@
 
 use crate::wakes::Wakes;
 use oatlever::balance::Balancer;
-use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream, Tries};
+use oatlever::round::{Address, Beliefs, HealthAnswer, List, ListNews, Round, Stream, Tries};
 use oatlever_instance::Start;
 use oatlever_platform::message::{self, Join, Message, Wrong, ALIVE};
 use oatlever_platform::{patience, Connection, Names, Publisher, Role, ServerNames, Sessions};
@@ -16,6 +16,10 @@
 pub struct Counts {
     pub rounds: u64,
     pub messages: u64,
+    /// Queries that came to proxies, tries at servers and those of them that failed, as reported.
+    pub queries: f64,
+    pub tries: f64,
+    pub failed: f64,
     /// Those that named a server which no list has named.
     pub strange: u64,
     pub spoilt: u64,
@@ -66,6 +70,8 @@
     /// s; how long a proxy may owe a word.
     patience: f64,
     pub counts: Counts,
+    /// What the last orders went by. Between reports demand fades, so at other moments it says less.
+    pub beliefs: Beliefs,
 }
 
 struct Known<'a>(&'a Register);
@@ -94,6 +100,7 @@
             wakes: Wakes::default(),
             checking: BTreeSet::new(),
             counts: Counts::default(),
+            beliefs: Beliefs::default(),
         }
     }
 
@@ -148,17 +155,22 @@
         match (message, role) {
             (Message::Met(met), Role::Collector(_)) => match self.register.number(&met.server) {
                 None => self.counts.strange += 1,
-                Some(server) => self.round.tries.push(Tries {
-                    server,
-                    zone: met.zone,
-                    tries: met.tries,
-                    failed: met.failed,
-                    time: met.time,
-                    span: met.span,
-                }),
+                Some(server) => {
+                    self.counts.tries += met.tries;
+                    self.counts.failed += met.failed;
+                    self.round.tries.push(Tries {
+                        server,
+                        zone: met.zone,
+                        tries: met.tries,
+                        failed: met.failed,
+                        time: met.time,
+                        span: met.span,
+                    });
+                }
             },
             // Usage comes by any collector, or on the proxy's own stream.
             (Message::Queries(queries), role) if role_speaks_for(role, queries.proxy) => {
+                self.counts.queries += queries.came;
                 self.round.queries.push(queries)
             }
             (Message::Receipt(receipt), Role::Proxy(proxy)) if receipt.proxy == proxy => {
@@ -230,6 +242,9 @@
         for note in chores.notes {
             tracing::info!(note);
         }
+        if !messages.is_empty() {
+            self.beliefs = self.balancer.beliefs(now);
+        }
         let checks = chores.checks.into_iter().filter(|server| self.checking.insert(*server)).collect();
         let to = |(proxy, bytes)| Some((self.sessions.of(proxy)?, bytes));
         let messages: Vec<_> = messages.into_iter().filter_map(to).collect();
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -197,6 +197,6 @@
         let desk = pilot.desk.borrow();
         let (listed, remembered) = desk.register.sizes();
         let (open, unjoined) = pilot.connections.sizes();
-        tracing::info!(open, unjoined, listed, remembered, counts = ?desk.counts, "so far");
+        tracing::info!(open, unjoined, listed, remembered, beliefs = ?desk.beliefs, counts = ?desk.counts, "so far");
     }
 }
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -232,6 +232,30 @@
     pilot.proxy(3, "s-1");
 }
 
+/// Guards against bytes for collectors, which have no use for any: not when one is sent away for what it says, nor
+/// when it gives way to another.
+#[test]
+fn nothing_is_written_to_a_collector() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-1", "up");
+    let pilot = Pilot::start("collectors", &configuration(discovery.host, 64));
+    let collector = || {
+        let mut peer = pilot.dial();
+        peer.say(json!({"msg": "telemetry", "zone": "a"})).unwrap();
+        // The answer to this shows that it was taken in; only who asks is answered.
+        peer.say(json!({"msg": "hb"})).unwrap();
+        assert_eq!(peer.hear().unwrap().unwrap()["msg"], "hb_ok");
+        peer
+    };
+    let _proxy = pilot.proxy(3, "s-1");
+    let mut oldest = collector();
+    let mut odd = collector();
+    odd.send(b"\xff\x00 and so on\n").unwrap();
+    assert_eq!(odd.hear().unwrap(), None);
+    let _others = [collector(), collector()];
+    assert_eq!(oldest.hear().unwrap(), None);
+}
+
 /// Guards against strangers that hold what proxies need: far more of them than there are descriptors, of
 /// every kind; each is sent away, and a proxy that dials amid them is served.
 #[test]
@@ -353,7 +377,7 @@
 
 #[test]
 fn a_replaced_configuration_names_another_discovery() {
-    let (first, second) = (Discovery::start().unwrap(), Discovery::start().unwrap());
+    let [first, second, third] = [(); 3].map(|()| Discovery::start().unwrap());
     first.say("s-1", "up");
     let pilot = Pilot::start("reload", &configuration(first.host, 64));
     let mut peer = pilot.proxy(3, "s-1");
@@ -373,6 +397,17 @@
         "{:?}",
         peer.table
     );
+
+    // Moved twice in a row: the last one holds.
+    for name in ["s-1", "s-2", "s-3"] {
+        third.say(name, if name == "s-1" { "draining" } else { "up" });
+    }
+    for discovery in [&first, &third] {
+        std::fs::write(&fresh, configuration(discovery.host, 64).to_string()).unwrap();
+        std::fs::rename(&fresh, &pilot.path).unwrap();
+        pilot.signal("-HUP");
+    }
+    assert!(peer.holds(LONG, |table| table.contains_key("s-3")), "{:?}", peer.table);
 }
 
 #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,8 +7,8 @@
 
 use crate::chance::Chance;
 use crate::round::{
-    Address, Channel, Levels, List, ListNews, Plan, QueryClass, Readiness, Round, Rules, Site, Tries, Writer,
-    MARK_LINES, NO_LIMIT, NO_RETRY, ONCE_UNRUN,
+    Address, Beliefs, Channel, Levels, List, ListNews, Plan, QueryClass, Readiness, Round, Rules, Site,
+    Tries, Writer, MARK_LINES, NO_LIMIT, NO_RETRY, ONCE_UNRUN,
 };
 use crate::state::{Change, Line, Proxy, Queue, Server, Table, Times};
 use crate::sums::{least, median, seconds_held};
@@ -278,6 +278,21 @@
         }
     }
 
+    /// What the orders of this moment go by.
+    pub fn beliefs(&self, now: f64) -> Beliefs {
+        let count = |what: &dyn Fn(&Server) -> bool| {
+            self.servers.values().filter(|s| s.is_ready() && what(s)).count()
+        };
+        Beliefs {
+            demand: self.demand(false, now).iter().sum(),
+            let_in: self.line.part,
+            pressure: self.line.pressure,
+            ready: count(&|_| true),
+            cold: count(&|s| self.is_cold(s, now)),
+            distrusted: count(&|s| s.trust < DISTRUSTED),
+        }
+    }
+
     /// One cycle a report period, longer where messages to a proxy are few.
     fn cycle(&self) -> f64 {
         let most = self.channel.most_messages as f64;
--- a/src/round.rs
+++ b/src/round.rs
@@ -191,6 +191,20 @@
     pub plan: Option<Plan>,
 }
 
+/// What a pilot takes for true of load and health, for whoever sets it beside what passed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Beliefs {
+    /// Queries a second that come to the joined proxies.
+    pub demand: f64,
+    /// Part of them that the line lets in, and the pressure it goes by.
+    pub let_in: f64,
+    pub pressure: f64,
+    /// Servers that are ready; those of them that are cold, and those that have lost trust.
+    pub ready: usize,
+    pub cold: usize,
+    pub distrusted: usize,
+}
+
 /// Modes of a further try. One after any failure could run an effect twice; it has no name here.
 pub const NO_RETRY: u8 = 0;
 pub const ONCE_UNRUN: u8 = 1;
