State once what both writers make of orders, and drop what the rereading found spare

Change: `Chores`, `ALL_TABLES`, `named_classes` in src/round.rs serve both writers; `told` and `verdict` in main; `written` and `refused` in the platform's tests. Behaviour, bounds and assertions as before.

--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -117,6 +117,8 @@
 
 /// Exit status where the settings or the command line are wrong.
 const WRONG: u8 = 2;
+/// Exit status where the program could not do what it was asked.
+const FAILED: u8 = 1;
 
 fn read(path: &Path) -> Result<Settings, ExitCode> {
     let text = std::fs::read_to_string(path).map_err(|e| {
@@ -131,11 +133,6 @@
     })
 }
 
-fn failed(what: String) -> ExitCode {
-    eprintln!("oatlever: {what}");
-    ExitCode::FAILURE
-}
-
 fn told(code: u8) -> impl Fn(String) -> ExitCode {
     move |e: String| {
         eprintln!("oatlever: {e}");
@@ -143,6 +140,14 @@
     }
 }
 
+/// Whether something asked for holds; errors are of what was given.
+fn verdict(holds: Result<bool, String>) -> Result<(), ExitCode> {
+    match holds.map_err(told(WRONG))? {
+        true => Ok(()),
+        false => Err(ExitCode::FAILURE),
+    }
+}
+
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Schema => {
@@ -150,34 +155,20 @@
             Ok(())
         }
         Command::Tables { socket, what } => {
-            what.request().and_then(|request| control::tell(&socket, request)).map_err(failed)
+            what.request().and_then(|request| control::tell(&socket, request)).map_err(told(FAILED))
         }
         Command::Holders { socket, server } => {
             let request = ("GET", format!("/holders/{server}"), String::new());
-            control::tell(&socket, request).map_err(failed)
+            control::tell(&socket, request).map_err(told(FAILED))
         }
         Command::Price { socket, price } => {
-            control::price(&price).and_then(|request| control::tell(&socket, request)).map_err(failed)
+            control::price(&price).and_then(|request| control::tell(&socket, request)).map_err(told(FAILED))
         }
-        Command::Plan { model, schema, what } => match plan::run(model.as_deref(), schema, &what) {
-            Ok(true) => Ok(()),
-            Ok(false) => Err(ExitCode::FAILURE),
-            Err(e) => {
-                eprintln!("oatlever: {e}");
-                Err(ExitCode::from(WRONG))
-            }
-        },
+        Command::Plan { model, schema, what } => verdict(plan::run(model.as_deref(), schema, &what)),
         Command::Guard { what: Guard::At { socket, what } } => {
-            control::tell(&socket, what.request()).map_err(failed)
+            control::tell(&socket, what.request()).map_err(told(FAILED))
         }
-        Command::Guard { what: Guard::Check { table, state } } => match drill::check(&table, &state) {
-            Ok(true) => Ok(()),
-            Ok(false) => Err(ExitCode::FAILURE),
-            Err(e) => {
-                eprintln!("oatlever: {e}");
-                Err(ExitCode::from(WRONG))
-            }
-        },
+        Command::Guard { what: Guard::Check { table, state } } => verdict(drill::check(&table, &state)),
         Command::Check { settings } => read(&settings).map(|s| {
             println!(
                 "{} zones, {} classes, {} askers: settings are right",
@@ -192,11 +183,11 @@
             path.and_then(|path| Ok((platform::Configuration::load(&path)?, path)))
                 .and_then(|read| logs::start(log, &log_filter).map(|()| read))
                 .map_err(told(WRONG))
-                .and_then(|(read, path)| platform::run(read, path).map_err(told(1)))
+                .and_then(|(read, path)| platform::run(read, path).map_err(told(FAILED)))
         }
         Command::Pilot { settings, log, log_filter, seed } => read(&settings).and_then(|settings| {
             logs::start(log, &log_filter).map_err(told(WRONG))?;
-            serve::run(settings, seed.unwrap_or_else(|| fastrand::u64(..))).map_err(told(1))
+            serve::run(settings, seed.unwrap_or_else(|| fastrand::u64(..))).map_err(told(FAILED))
         }),
     };
     done.map_or_else(|code| code, |()| ExitCode::SUCCESS)
--- a/pilot/src/platform/configuration.rs
+++ b/pilot/src/platform/configuration.rs
@@ -35,7 +35,6 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
-    #[serde(default)]
     known: Option<Value>,
     settings: Value,
 }
@@ -78,8 +77,8 @@
         let names = oatlever_instance::names(&wire.settings).map_err(|e| e.to_string())?;
         let start = oatlever_instance::start(&wire.settings).map_err(|e| e.to_string())?;
         let nothing = PlatformDocument { version: 0, whole: true, servers: Vec::new(), mistakes: Vec::new() };
-        let known = wire.known.filter(|known| !known.is_null());
-        let known = known.map_or(Ok(nothing), |known| PlatformDocument::from_value(&known, &names.zones));
+        let known =
+            wire.known.map_or(Ok(nothing), |known| PlatformDocument::from_value(&known, &names.zones));
         Ok(Configuration {
             name: wire.name.or_else(|| environment(NAME)).unwrap_or_default(),
             listen: address(wire.listen, "listen", LISTEN, environment)?,
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -14,7 +14,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// s; whoever has not joined by then is sent away. The protocol lets it be from 1 s on, and strangers must
 /// know within 3 s; bytes may come in pieces.
@@ -169,7 +169,7 @@
 
 async fn serve(stream: Async<TcpStream>, number: Connection, outbox: Rc<Outbox>, pilot: Rc<Pilot>) {
     let deadline = async {
-        Timer::at(Instant::now() + Duration::from_secs_f64(JOIN_WITHIN)).await;
+        Timer::after(Duration::from_secs_f64(JOIN_WITHIN)).await;
         if outbox.joined.get() {
             future::pending().await
         } else {
@@ -196,17 +196,12 @@
 }
 
 impl Unfinished<'_> {
-    /// Bytes that a message may have. Guards against a fleet that has joined and sends long messages at once:
+    /// Bytes that a message of one who has joined may have. Guards against a fleet that has joined and sends long messages at once:
     /// together they would fill the memory, as each may be longer by far than any that is sent in earnest.
-    fn longest(&self, joined: bool) -> usize {
-        let connections = self.connections;
-        let others = connections.unfinished.get() - self.counted;
-        let left = connections.most_unfinished.saturating_sub(others);
-        if joined {
-            LONGEST.min(left).max(LONGEST_FIRST)
-        } else {
-            LONGEST_FIRST
-        }
+    fn longest(&self) -> usize {
+        let others = self.connections.unfinished.get() - self.counted;
+        let left = self.connections.most_unfinished.saturating_sub(others);
+        LONGEST.min(left).max(LONGEST_FIRST)
     }
 
     fn count(&mut self) {
@@ -259,8 +254,8 @@
 /// Takes in bytes; false where the connection may not go on.
 fn take(begun: &mut Unfinished, bytes: &[u8], number: Connection, pilot: &Pilot) -> bool {
     let (now, mut good) = (pilot.clock.now(), true);
-    let [stranger, joined] = [false, true].map(|joined| begun.longest(joined));
-    let longest = || if pilot.desk.borrow().has_joined(number) { joined } else { stranger };
+    let most = begun.longest();
+    let longest = || if pilot.desk.borrow().has_joined(number) { most } else { LONGEST_FIRST };
     let cut = begun.lines.cut(bytes, longest, |line| {
         let reaction = pilot.desk.borrow_mut().line(number, line, now);
         match reaction {
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -6,7 +6,7 @@
 use oatlever::round::{Address, Beliefs, HealthAnswer, List, ListNews, Round, Stream, Tries};
 use oatlever_instance::Start;
 use oatlever_platform::message::{self, Join, Message, Wrong, ALIVE};
-use oatlever_platform::{patience, Connection, Names, Publisher, Role, ServerNames, Sessions};
+use oatlever_platform::{patience, Connection, Names, Publisher, Role, Sessions};
 use oatlever_roster::platform::{PlatformDocument, Register};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -74,14 +74,6 @@
     pub beliefs: Beliefs,
 }
 
-struct Known<'a>(&'a Register);
-
-impl ServerNames for Known<'_> {
-    fn name(&self, server: Address) -> Option<Rc<str>> {
-        self.0.name(server)
-    }
-}
-
 impl Desk {
     pub fn new(start: Start, names: &oatlever_instance::Names, seed: u64) -> Self {
         let names = Names {
@@ -234,8 +226,8 @@
         round.now = now;
         self.counts.rounds += 1;
         self.balancer.round(&round, &mut self.publisher);
-        let joined = self.sessions.proxies().map(|(proxy, _)| proxy);
-        let (messages, chores) = self.publisher.finish(joined, &Known(&self.register));
+        let (marked, name) = (self.publisher.is_marked(), |server| self.register.name(server));
+        let (messages, chores) = self.publisher.finish(self.sessions.proxies(), &name);
         for (after, number) in chores.wakes {
             self.wakes.ask(now + after, number);
         }
@@ -248,7 +240,7 @@
         let checks = chores.checks.into_iter().filter(|server| self.checking.insert(*server)).collect();
         let to = |(proxy, bytes)| Some((self.sessions.of(proxy)?, bytes));
         let messages: Vec<_> = messages.into_iter().filter_map(to).collect();
-        for (connection, _) in messages.iter().filter(|_| chores.marked) {
+        for (connection, _) in messages.iter().filter(|_| marked) {
             self.sessions.ask(*connection, now);
         }
         self.counts.written += messages.len() as u64;
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -37,6 +37,22 @@
     })
 }
 
+fn written(name: &str, configuration: &Value) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("oatlever-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, configuration.to_string()).unwrap();
+    path
+}
+
+/// What a program says that does not start for its configuration.
+fn refused(name: &str, configuration: &Value) -> String {
+    let path = written(name, configuration);
+    let mut program = Command::new(env!("CARGO_BIN_EXE_oatlever"));
+    let told = program.arg("platform").arg(&path).env_remove("BALANCER_LISTEN").output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(told.status.code(), Some(2));
+    String::from_utf8(told.stderr).unwrap()
+}
+
 impl Pilot {
     fn start(name: &str, configuration: &Value) -> Pilot {
         Pilot::start_by(&mut Command::new(env!("CARGO_BIN_EXE_oatlever")), name, configuration)
@@ -44,8 +60,7 @@
 
     /// Starts one and waits until it says where it listens.
     fn start_by(program: &mut Command, name: &str, configuration: &Value) -> Pilot {
-        let path = std::env::temp_dir().join(format!("oatlever-{}-{name}.json", std::process::id()));
-        std::fs::write(&path, configuration.to_string()).unwrap();
+        let path = written(name, configuration);
         let mut child = program
             .args(["platform", path.to_str().unwrap(), "--log", "json"])
             .stderr(Stdio::piped())
@@ -362,16 +377,7 @@
     let mut program = Command::new(env!("CARGO_BIN_EXE_oatlever"));
     program.env("BALANCER_LISTEN", "127.0.0.1:0").env("BALANCER_DISCOVERY", discovery.host.to_string());
     Pilot::start_by(&mut program, "bare", &bare).proxy(3, "s-2");
-    let path = std::env::temp_dir().join(format!("oatlever-{}-none.json", std::process::id()));
-    std::fs::write(&path, bare.to_string()).unwrap();
-    let told = Command::new(env!("CARGO_BIN_EXE_oatlever"))
-        .args(["platform", path.to_str().unwrap()])
-        .env_remove("BALANCER_LISTEN")
-        .output()
-        .unwrap();
-    std::fs::remove_file(&path).unwrap();
-    assert_eq!(told.status.code(), Some(2));
-    let text = String::from_utf8(told.stderr).unwrap();
+    let text = refused("none", &bare);
     assert!(text.contains("`listen` is missing, and BALANCER_LISTEN is not set"), "{text}");
 }
 
@@ -414,12 +420,6 @@
 fn a_wrong_configuration_is_told_with_its_place() {
     let mut wrong = configuration("127.0.0.1:9".parse().unwrap(), 64);
     wrong["settings"]["family-info"]["head"] = json!("four");
-    let path = std::env::temp_dir().join(format!("oatlever-{}-wrong.json", std::process::id()));
-    std::fs::write(&path, wrong.to_string()).unwrap();
-    let program = env!("CARGO_BIN_EXE_oatlever");
-    let told = Command::new(program).args(["platform", path.to_str().unwrap()]).output().unwrap();
-    std::fs::remove_file(&path).unwrap();
-    assert_eq!(told.status.code(), Some(2));
-    let text = String::from_utf8(told.stderr).unwrap();
+    let text = refused("wrong", &wrong);
     assert!(text.contains("`family-info.head` is not a number of 0 or more"), "{text}");
 }
--- a/src/round.rs
+++ b/src/round.rs
@@ -213,6 +213,28 @@
 /// What a mark adds to each message, in lines.
 pub const MARK_LINES: f64 = 1.0;
 
+/// Levels that are ordered for this table hold in all.
+pub const ALL_TABLES: u16 = u16::MAX;
+
+/// Of so many classes, those that a sum of 2^place names; 0 names all.
+pub fn named_classes(sum: u16, count: usize) -> impl Iterator<Item = u16> + Clone {
+    (0..count as u16).filter(move |class| sum == 0 || sum & (1 << class) != 0)
+}
+
+/// What a round asks of the program itself, beside tables and messages.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Chores {
+    /// Servers to check.
+    pub checks: Vec<Address>,
+    /// Seconds until a wake, and its number.
+    pub wakes: Vec<(f64, u64)>,
+    pub notes: Vec<String>,
+    /// The list is to be followed from now on.
+    pub follow: bool,
+    /// The whole list is to be read once.
+    pub fetch: bool,
+}
+
 /// Where decisions go. Orders take effect in the order of the calls; what one
 /// round orders becomes one message for each proxy concerned.
 pub trait Writer {
@@ -220,7 +242,7 @@
     fn clear(&mut self, table: u16);
     fn bind(&mut self, proxy: u16, table: u16);
     fn withdraw(&mut self, server: Address, out: bool);
-    /// `classes` is a sum of 2^place; `tries` is a mode of a further try.
+    /// `classes` is as for [`named_classes`], `table` may be [`ALL_TABLES`]; `tries` is a mode of a further try.
     fn admit(&mut self, table: u16, classes: u16, level: f64, tries: u8);
     fn check_health(&mut self, server: Address);
     fn mark(&mut self, number: u64, everyone: bool);
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -16,7 +16,7 @@
 pub use pull::{Kind, Pull};
 pub use versions::{frozen, Kept, Lines, Refusal, Versions};
 
-use oatlever::round::{Address, Receipt, Writer};
+use oatlever::round::{named_classes, Address, Chores, Receipt, Writer, ALL_TABLES};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
@@ -79,16 +79,6 @@
     replaced: bool,
 }
 
-/// What is asked of the program itself in a round, beside tables.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Chores {
-    /// Servers to check.
-    pub checks: Vec<Address>,
-    /// Seconds until a wake, and its number.
-    pub wakes: Vec<(f64, u64)>,
-    pub notes: Vec<String>,
-}
-
 /// A round as it is being written.
 #[derive(Debug, Default)]
 struct Open {
@@ -424,14 +414,11 @@
     }
 
     fn admit(&mut self, table: u16, classes: u16, level: f64, tries: u8) {
-        let count = self.classes as u16;
-        let named = (0..count).filter(|class| classes == 0 || classes & (1 << class) != 0);
-        let named: Vec<u16> = named.collect();
-        let everywhere = table == u16::MAX;
+        let named = named_classes(classes, self.classes);
         let last = self.tables.len().saturating_sub(1) as u16;
-        for number in if everywhere { 0..=last } else { table..=table } {
+        for number in if table == ALL_TABLES { 0..=last } else { table..=table } {
             let held = self.table(number);
-            held.levels.extend(named.iter().map(|class| (*class, (level, tries))));
+            held.levels.extend(named.clone().map(|class| (class, (level, tries))));
             self.open.turned.insert(number);
             self.charge(number);
         }
