--- a/instance/src/lib.rs
+++ b/instance/src/lib.rs
@@ -19,40 +19,89 @@
     Err(Malformed(what.into()))
 }
 
-/// A value of the settings together with the path that led to it, for messages.
-struct Node<'a> {
+/// Figures without a bound of their own, and times in ms, are no larger: more is a mistake, and a span of years can't
+/// be waited for.
+const MOST: f64 = 1e9;
+/// ms; a pilot that looked up more rarely would serve nobody.
+const LONGEST_TICK: f64 = 60_000.0;
+/// Proxies, slices and pilots number below this.
+const NUMBERS: f64 = 65536.0;
+/// Bytes; no name is longer.
+const LONGEST_NAME: usize = 256;
+/// Classes are told apart by the bits of a sum.
+const MOST_CLASSES: usize = 16;
+/// Characters of a wrong value that are told.
+const TOLD: usize = 80;
+
+/// A value of settings together with the path that led to it, for messages.
+#[derive(Clone, Debug)]
+pub struct Node<'a> {
     value: &'a Value,
     path: String,
 }
 
 impl<'a> Node<'a> {
-    fn maybe(&self, key: &str) -> Option<Node<'a>> {
-        self.value.get(key).map(|value| Node {
-            value,
-            path: format!("{}{}{key}", self.path, if self.path.is_empty() { "" } else { "." }),
-        })
+    pub fn root(value: &'a Value) -> Self {
+        Node { value, path: String::new() }
     }
-    fn get(&self, key: &str) -> Result<Node<'a>, Malformed> {
+
+    pub fn value(&self) -> &'a Value {
+        self.value
+    }
+
+    /// A field, where it is there and not null.
+    pub fn maybe(&self, key: &str) -> Option<Node<'a>> {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        let found = self.value.get(key).filter(|value| !value.is_null());
+        found.map(|value| Node { value, path: format!("{}{dot}{key}", self.path) })
+    }
+
+    pub fn get(&self, key: &str) -> Result<Node<'a>, Malformed> {
         match self.maybe(key) {
             Some(node) => Ok(node),
-            None => malformed(format!("settings: `{key}` is missing in `{}`", self.path)),
+            None if self.path.is_empty() => malformed(format!("`{key}` is missing")),
+            None => malformed(format!("`{key}` is missing in `{}`", self.path)),
         }
     }
-    fn wrong<T>(&self, wanted: &str) -> Result<T, Malformed> {
-        malformed(format!("settings: `{}` is not {wanted}", self.path))
+
+    pub fn wrong<T>(&self, wanted: &str) -> Result<T, Malformed> {
+        let text = self.value.to_string();
+        let told: String = text.chars().take(TOLD).collect();
+        let more = if told.len() < text.len() { "..." } else { "" };
+        malformed(format!("`{}` is {told}{more}, not {wanted}", self.path))
     }
-    fn number(&self) -> Result<f64, Malformed> {
+
+    pub fn number(&self, least: f64, most: f64) -> Result<f64, Malformed> {
         match self.value.as_f64() {
-            Some(x) if x.is_finite() && x >= 0.0 => Ok(x),
-            _ => self.wrong("a number of 0 or more"),
+            Some(x) if x >= least && x <= most => Ok(x),
+            _ if least == f64::MIN_POSITIVE => self.wrong(&format!("a number above 0, to {most}")),
+            _ => self.wrong(&format!("a number from {least} to {most}")),
         }
     }
+
+    pub fn whole(&self, least: f64, most: f64) -> Result<f64, Malformed> {
+        match self.number(least, most) {
+            Ok(x) if x.fract() == 0.0 => Ok(x),
+            _ => self.wrong(&format!("a whole number from {least} to {most}")),
+        }
+    }
+
     fn num(&self, key: &str) -> Result<f64, Malformed> {
-        self.get(key)?.number()
+        self.get(key)?.number(0.0, MOST)
     }
+
+    fn above_0(&self, key: &str) -> Result<f64, Malformed> {
+        self.get(key)?.number(f64::MIN_POSITIVE, MOST)
+    }
+
     fn seconds(&self, key: &str) -> Result<f64, Malformed> {
         Ok(self.num(key)? / 1000.0)
     }
+
+    fn seconds_above_0(&self, key: &str) -> Result<f64, Malformed> {
+        Ok(self.above_0(key)? / 1000.0)
+    }
+
     fn flag(&self, key: &str) -> Result<bool, Malformed> {
         match self.maybe(key) {
             None => Ok(false),
@@ -62,26 +111,53 @@
             },
         }
     }
-    fn word(&self, key: &str) -> Result<&'a str, Malformed> {
-        let node = self.get(key)?;
-        match node.value.as_str() {
+
+    pub fn text(&self) -> Result<&'a str, Malformed> {
+        match self.value.as_str() {
             Some(text) => Ok(text),
-            None => node.wrong("a text"),
+            None => self.wrong("a text"),
         }
     }
+
+    /// What one of some words means.
+    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, Malformed> {
+        let node = self.get(key)?;
+        match words.iter().find(|(word, _)| node.value.as_str() == Some(word)) {
+            Some((_, meant)) => Ok(*meant),
+            None => {
+                let all: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+                node.wrong(&format!("one of {}", all.join(", ")))
+            }
+        }
+    }
+
     fn items(&self, key: &str) -> Result<Vec<Node<'a>>, Malformed> {
         let node = self.get(key)?;
         let Some(list) = node.value.as_array() else {
             return node.wrong("a list");
         };
-        Ok(list
-            .iter()
-            .enumerate()
-            .map(|(k, value)| Node { value, path: format!("{}[{k}]", node.path) })
-            .collect())
+        let item = |(k, value)| Node { value, path: format!("{}[{k}]", node.path) };
+        Ok(list.iter().enumerate().map(item).collect())
     }
 }
 
+/// Texts that name things, each another.
+fn distinct<'a>(nodes: impl Iterator<Item = Result<Node<'a>, Malformed>>) -> Result<Vec<String>, Malformed> {
+    let mut names: Vec<String> = Vec::new();
+    for node in nodes {
+        let node = node?;
+        let name = node.text()?;
+        if name.is_empty() || name.len() > LONGEST_NAME {
+            return node.wrong(&format!("a name of 1 to {LONGEST_NAME} bytes"));
+        }
+        if names.iter().any(|other| other == name) {
+            return node.wrong("another name than those before it");
+        }
+        names.push(name.to_string());
+    }
+    Ok(names)
+}
+
 /// What the decisions are told at their start.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -106,77 +182,80 @@
 /// Reads the text of the settings. Errors: it is not JSON, or something in it is missing or odd.
 pub fn read(text: &[u8]) -> Result<Start, Malformed> {
     match serde_json::from_slice(text) {
-        Ok(value) => start(&value),
+        Ok(value) => {
+            start(&Node::root(&value)).map_err(|Malformed(what)| Malformed(format!("settings: {what}")))
+        }
         Err(e) => malformed(format!("settings are not JSON: {e}")),
     }
 }
 
-/// The names in the settings. Errors: one is missing or is no text.
-pub fn names(settings: &Value) -> Result<Names, Malformed> {
-    let root = Node { value: settings, path: String::new() };
-    let text = |node: &Node| match node.value.as_str() {
-        Some(text) => Ok(text.to_string()),
-        None => node.wrong("a text"),
-    };
-    let class = |lane: &Node| text(&lane.get("name")?);
+/// The names in the settings. Errors: one is missing or is no name of its own.
+pub fn names(settings: &Node) -> Result<Names, Malformed> {
     Ok(Names {
-        zones: root.items("zones")?.iter().map(text).collect::<Result<_, _>>()?,
-        classes: root.items("lanes")?.iter().map(class).collect::<Result<_, _>>()?,
-        tick: root.seconds("tick-ms")?,
-        connect_within: root.get("limits")?.seconds("connect-timeout-ms")?,
+        zones: distinct(settings.items("zones")?.into_iter().map(Ok))?,
+        classes: distinct(settings.items("lanes")?.iter().map(|lane| lane.get("name")))?,
+        tick: settings.get("tick-ms")?.number(0.0, LONGEST_TICK)? / 1000.0,
+        connect_within: settings.get("limits")?.seconds_above_0("connect-timeout-ms")?,
     })
 }
 
 /// What the decisions are told. Errors: something is missing, or is not what it should be.
-pub fn start(settings: &Value) -> Result<Start, Malformed> {
-    let root = Node { value: settings, path: String::new() };
-    let info = root.get("family-info")?;
-    let limits = root.get("limits")?;
-    let rules = root.get("rules")?;
+pub fn start(settings: &Node) -> Result<Start, Malformed> {
+    let info = settings.get("family-info")?;
+    let limits = settings.get("limits")?;
+    let rules = settings.get("rules")?;
 
     let mut classes = Vec::new();
-    for lane in root.items("lanes")? {
-        classes.push(QueryClass { benefit: lane.num("worth")?, due_time: lane.seconds("slo-ms")? });
+    for lane in settings.items("lanes")? {
+        classes.push(QueryClass { benefit: lane.num("worth")?, due_time: lane.seconds_above_0("slo-ms")? });
     }
-    if classes.is_empty() || classes.len() > 16 {
-        return root.get("lanes")?.wrong("a list of 1 to 16 classes");
+    if classes.is_empty() || classes.len() > MOST_CLASSES {
+        return settings.get("lanes")?.wrong("a list of 1 to 16 classes");
     }
-    let zones = root.items("zones")?.len();
-    if zones == 0 {
-        return root.get("zones")?.wrong("a list of at least one zone");
+    let zones = settings.items("zones")?.len();
+    if zones == 0 || zones as f64 >= NUMBERS {
+        return settings.get("zones")?.wrong("a list of one zone or more");
     }
+    let most_messages = info.get("reloads-max")?.whole(0.0, MOST)? as usize;
+    let list_on_request = settings.word("registry-mode", &[("pushed", false), ("on_request", true)])?;
     Ok(Start {
         site: Site {
             zones,
-            pilots: (root.num("siblings")? as usize).max(1),
-            proxies: info.num("data-plane-size")?,
-            slices: info.num("partitions-n")? as usize,
+            pilots: (settings.get("siblings")?.whole(0.0, NUMBERS)? as usize).max(1),
+            proxies: info.get("data-plane-size")?.whole(1.0, NUMBERS)?,
+            slices: info.get("partitions-n")?.whole(0.0, NUMBERS)? as usize,
             one_owner: info.flag("one-owner")?,
-            list_on_request: root.word("registry-mode")? == "on_request",
+            list_on_request,
             probes: limits.flag("probes")?,
-            levels: match info.word("level-kind")? {
-                "share" => Levels::Share,
-                "rate" => Levels::Rate,
-                _ => Levels::Ignored,
-            },
-            picks_of_two: info.word("choice")? == "two",
-            report_period: info.seconds("period-ms")?,
+            levels: info.word(
+                "level-kind",
+                &[("share", Levels::Share), ("rate", Levels::Rate), ("off", Levels::Ignored)],
+            )?,
+            picks_of_two: info.word("choice", &[("weighted", false), ("round", false), ("two", true)])?,
+            report_period: info.seconds_above_0("period-ms")?,
             write_life: info.seconds("write-life-ms")?,
         },
         classes,
         channel: Channel {
-            lines_per_second: info.num("egress-per-s")?,
-            most_waiting: info.num("queue-cap")?,
+            lines_per_second: info.above_0("egress-per-s")?,
+            most_waiting: info.above_0("queue-cap")?,
             header_lines: info.num("head")?,
-            most_messages: info.num("reloads-max")? as usize,
-            window: info.seconds("update-window-ms")?,
+            most_messages,
+            // A number of messages within no time is no limit at all.
+            window: match most_messages {
+                0 => info.seconds("update-window-ms")?,
+                _ => info.seconds_above_0("update-window-ms")?,
+            },
             longest_way: info.seconds("transit-max-ms")?,
         },
         rules: Rules {
-            ask_within: rules.seconds("ask-within-ms")?,
-            cold_share: rules.num("start-capacity")?,
+            ask_within: match list_on_request {
+                true => rules.seconds_above_0("ask-within-ms")?,
+                false => rules.seconds("ask-within-ms")?,
+            },
+            cold_share: rules.get("start-capacity")?.number(0.0, 1.0)?,
             warm_within: rules.seconds("warm-within-ms")?,
-            fall_multiple: rules.num("fall-multiple")?,
+            fall_multiple: rules.above_0("fall-multiple")?,
             gone_does_not_bind: rules.flag("only-draining-binds")?,
         },
     })
--- a/pilot/src/clock.rs
+++ b/pilot/src/clock.rs
@@ -24,6 +24,11 @@
         self.start + moment.saturating_duration_since(self.began).as_secs_f64()
     }
 
+    /// Seconds since it began.
+    pub fn age(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
     pub fn now(&self) -> f64 {
         self.at(Instant::now())
     }
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -180,10 +180,12 @@
         Command::Platform { configuration, log, log_filter } => {
             let path = configuration.or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
             let path = path.ok_or_else(|| "no configuration: name one, or set BALANCER_CONFIG".to_string());
-            path.and_then(|path| Ok((platform::Configuration::load(&path)?, path)))
-                .and_then(|read| logs::start(log, &log_filter).map(|()| read))
-                .map_err(told(WRONG))
-                .and_then(|(read, path)| platform::run(read, path).map_err(told(FAILED)))
+            platform::begin().map_err(told(FAILED)).and_then(|begun| {
+                path.and_then(|path| Ok((platform::Configuration::load(&path)?, path)))
+                    .and_then(|read| logs::start(log, &log_filter).map(|()| read))
+                    .map_err(told(WRONG))
+                    .and_then(|(read, path)| platform::run(read, path, begun).map_err(told(FAILED)))
+            })
         }
         Command::Pilot { settings, log, log_filter, seed } => read(&settings).and_then(|settings| {
             logs::start(log, &log_filter).map_err(told(WRONG))?;
--- a/pilot/src/platform/configuration.rs
+++ b/pilot/src/platform/configuration.rs
@@ -1,15 +1,19 @@
 //! What a pilot on the platform is told at its start, and again where that is replaced.
 
-use oatlever_instance::{Names, Start};
+use super::LEAST_SOCKETS;
+use oatlever_instance::{Malformed, Names, Node, Start};
 use oatlever_roster::platform::PlatformDocument;
-use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 
 /// Descriptors, and MiB of memory, where the configuration states no limit.
-const USUAL_SOCKETS: usize = 1024;
-const USUAL_MEMORY: usize = 64;
+const USUAL_SOCKETS: f64 = 1024.0;
+const USUAL_MEMORY: f64 = 64.0;
+/// Bytes.
+const MIB: f64 = 1048576.0;
+/// More of either is a mistake.
+const MOST: f64 = 1e7;
 
 pub struct Configuration {
     pub name: String,
@@ -27,24 +31,6 @@
     pub names: Names,
 }
 
-#[derive(Deserialize)]
-struct Wire {
-    name: Option<String>,
-    listen: Option<SocketAddr>,
-    discovery: Option<SocketAddr>,
-    seed: String,
-    #[serde(default)]
-    limits: Limits,
-    known: Option<Value>,
-    settings: Value,
-}
-
-#[derive(Default, Deserialize)]
-struct Limits {
-    sockets: Option<f64>,
-    memory_mb: Option<f64>,
-}
-
 /// What the file leaves out the environment says, by these names.
 const NAME: &str = "BALANCER_NAME";
 const LISTEN: &str = "BALANCER_LISTEN";
@@ -52,13 +38,16 @@
 
 /// An address that the file or a variable names.
 fn address(
-    told: Option<SocketAddr>,
+    root: &Node,
     field: &str,
     variable: &str,
     environment: &impl Fn(&str) -> Option<String>,
 ) -> Result<SocketAddr, String> {
-    match (told, environment(variable)) {
-        (Some(told), _) => Ok(told),
+    match (root.maybe(field), environment(variable)) {
+        (Some(told), _) => {
+            let text = told.text().map_err(|e| e.to_string())?;
+            text.parse().or_else(|_| told.wrong("an address with a port")).map_err(|e| e.to_string())
+        }
         (None, Some(text)) => text.parse().map_err(|e| format!("{variable} {text:?}: {e}")),
         (None, None) => Err(format!("`{field}` is missing, and {variable} is not set")),
     }
@@ -73,20 +62,47 @@
     }
 
     fn read(text: &[u8], environment: &impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let wire: Wire = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let names = oatlever_instance::names(&wire.settings).map_err(|e| e.to_string())?;
-        let start = oatlever_instance::start(&wire.settings).map_err(|e| e.to_string())?;
-        let nothing = PlatformDocument { version: 0, whole: true, servers: Vec::new(), mistakes: Vec::new() };
-        let known =
-            wire.known.map_or(Ok(nothing), |known| PlatformDocument::from_value(&known, &names.zones));
+        let value: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let root = Node::root(&value);
+        let address = |field, variable| address(&root, field, variable, environment);
+        let (listen, discovery) = (address("listen", LISTEN)?, address("discovery", DISCOVERY)?);
+        Self::of(&root, environment(NAME), listen, discovery).map_err(|e| e.to_string())
+    }
+
+    fn of(
+        root: &Node,
+        name: Option<String>,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+    ) -> Result<Self, Malformed> {
+        let settings = root.get("settings")?;
+        let (names, start) = (oatlever_instance::names(&settings)?, oatlever_instance::start(&settings)?);
+        if start.site.slices > 0 {
+            // The protocol has no words for them, so such a pilot would serve nobody.
+            return settings.get("family-info")?.get("partitions-n")?.wrong("0, as slices are not served");
+        }
+        let seed = root.get("seed")?;
+        let number = u64::from_str_radix(seed.text()?, 16);
+        let limit = |key: &str, least: f64, usual: f64| {
+            let told = root.maybe("limits").and_then(|limits| limits.maybe(key));
+            told.map_or(Ok(usual), |told| told.number(least, MOST))
+        };
+        let known = match root.maybe("known") {
+            Some(known) => PlatformDocument::from_value(known.value(), &names.zones)
+                .or_else(|what| known.wrong(&format!("usable: {what}")))?,
+            None => PlatformDocument::empty(),
+        };
         Ok(Configuration {
-            name: wire.name.or_else(|| environment(NAME)).unwrap_or_default(),
-            listen: address(wire.listen, "listen", LISTEN, environment)?,
-            discovery: address(wire.discovery, "discovery", DISCOVERY, environment)?,
-            seed: u64::from_str_radix(&wire.seed, 16).map_err(|e| format!("seed {:?}: {e}", wire.seed))?,
-            sockets: wire.limits.sockets.map_or(USUAL_SOCKETS, |most| most as usize),
-            memory: wire.limits.memory_mb.map_or(USUAL_MEMORY, |most| most as usize) << 20,
-            known: known.map_err(|e| format!("known: {e}"))?,
+            name: match root.maybe("name") {
+                Some(told) => told.text()?.to_string(),
+                None => name.unwrap_or_default(),
+            },
+            listen,
+            discovery,
+            seed: number.or_else(|_| seed.wrong("a number in hexadecimal"))?,
+            sockets: limit("sockets", LEAST_SOCKETS as f64, USUAL_SOCKETS)? as usize,
+            memory: (limit("memory_mb", 1.0, USUAL_MEMORY)? * MIB) as usize,
+            known,
             start,
             names,
         })
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -9,6 +9,7 @@
 use oatlever_platform::frame::{LONGEST, LONGEST_FIRST};
 use oatlever_platform::message::REFUSED;
 use oatlever_platform::{Connection, Lines};
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
@@ -25,23 +26,63 @@
 const CHUNK: usize = 1 << 16;
 /// s; after an accept that failed, as where descriptors have run out.
 const PAUSE: f64 = 0.01;
+/// Connections beyond the most, where all of those have joined: the new stream of a proxy whose old one has not
+/// been seen to end. So few fit beside what the pilot opens itself.
+pub const NEWCOMERS: usize = 8;
 
-/// What waits to be written on a connection.
-#[derive(Default)]
-struct Outbox {
+/// One connection, from its accept to its end: what was read of it, and what waits to be written.
+struct Peer {
+    number: Connection,
+    stream: Async<TcpStream>,
+    /// What it has sent of a message that has not ended.
+    begun: RefCell<Lines>,
     waiting: RefCell<VecDeque<Rc<[u8]>>>,
+    /// Bytes of the first of those that are written.
+    written: Cell<usize>,
     held: Cell<usize>,
+    /// Nothing more is read of it.
     closed: Cell<bool>,
     /// Whoever dialled has joined at some time.
     joined: Cell<bool>,
     news: Event,
 }
 
-impl Outbox {
+impl Peer {
     fn close(&self) {
         self.closed.set(true);
         self.news.notify(usize::MAX);
     }
+
+    /// Has bytes written, after what waits; false where too much does.
+    fn say(&self, bytes: Rc<[u8]>) -> bool {
+        self.held.set(self.held.get() + bytes.len());
+        if self.held.get() > MOST_HELD {
+            return false;
+        }
+        self.waiting.borrow_mut().push_back(bytes);
+        self.news.notify(usize::MAX);
+        true
+    }
+
+    /// Writes what waits, as far as that can be done at once. Errors: it can't, or not yet.
+    fn flush(&self) -> io::Result<()> {
+        loop {
+            let Some(bytes) = self.waiting.borrow().front().cloned() else { return Ok(()) };
+            let begun = self.written.get();
+            match self.stream.get_ref().write(&bytes[begun..]) {
+                Ok(n) => {
+                    self.held.set(self.held.get() - n);
+                    self.written.set(begun + n);
+                    if begun + n == bytes.len() {
+                        self.written.set(0);
+                        self.waiting.borrow_mut().pop_front();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
 }
 
 /// All that are open.
@@ -49,7 +90,7 @@
     /// At most.
     most: usize,
     next: Cell<Connection>,
-    open: RefCell<BTreeMap<Connection, Rc<Outbox>>>,
+    open: RefCell<BTreeMap<Connection, Rc<Peer>>>,
     /// Those that have not joined, the oldest first.
     unjoined: RefCell<BTreeSet<Connection>>,
     buffer: RefCell<Vec<u8>>,
@@ -79,57 +120,89 @@
     /// Has bytes written on a connection, after what waits there.
     pub fn say(&self, connection: Connection, bytes: Rc<[u8]>) {
         let open = self.open.borrow();
-        let Some(outbox) = open.get(&connection) else { return };
-        outbox.held.set(outbox.held.get() + bytes.len());
-        if outbox.held.get() > MOST_HELD {
+        let Some(peer) = open.get(&connection) else { return };
+        if !peer.say(bytes) {
             tracing::info!(connection, "leaves too much unread");
-            return outbox.close();
+            peer.close();
         }
-        outbox.waiting.borrow_mut().push_back(bytes);
-        outbox.news.notify(usize::MAX);
     }
 
     pub fn close(&self, connection: Connection) {
-        if let Some(outbox) = self.open.borrow().get(&connection) {
-            outbox.close();
+        if let Some(peer) = self.open.borrow().get(&connection) {
+            peer.close();
         }
     }
 
-    fn enter(&self) -> (Connection, Rc<Outbox>) {
+    fn enter(&self, stream: Async<TcpStream>) -> Rc<Peer> {
         let number = self.next.replace(self.next.get() + 1);
-        let outbox = Rc::new(Outbox::default());
-        self.open.borrow_mut().insert(number, outbox.clone());
+        let peer = Rc::new(Peer {
+            number,
+            stream,
+            begun: RefCell::default(),
+            waiting: RefCell::default(),
+            written: Cell::new(0),
+            held: Cell::new(0),
+            closed: Cell::new(false),
+            joined: Cell::new(false),
+            news: Event::new(),
+        });
+        self.open.borrow_mut().insert(number, peer.clone());
         self.unjoined.borrow_mut().insert(number);
-        (number, outbox)
+        peer
     }
 
-    fn has_joined(&self, connection: Connection) {
-        self.unjoined.borrow_mut().remove(&connection);
-        if let Some(outbox) = self.open.borrow().get(&connection) {
-            outbox.joined.set(true);
-        }
+    fn has_joined(&self, peer: &Peer) {
+        self.unjoined.borrow_mut().remove(&peer.number);
+        peer.joined.set(true);
     }
 
-    fn leave(&self, connection: Connection) {
-        self.open.borrow_mut().remove(&connection);
-        self.unjoined.borrow_mut().remove(&connection);
+    fn leave(&self, peer: &Peer) {
+        self.open.borrow_mut().remove(&peer.number);
+        self.unjoined.borrow_mut().remove(&peer.number);
+        let begun = peer.begun.take();
+        self.unfinished.set(self.unfinished.get() - begun.kept());
     }
 
-    /// Sends the oldest of those away that have not joined, where there are too many connections.
-    ///
-    /// Guards against strangers that hold descriptors which proxies need; a proxy dials and joins at once,
-    /// so the oldest is the least likely to be one.
-    fn make_room(&self) {
-        while self.open.borrow().len() >= self.most && self.send_oldest_away() {}
+    /// The oldest of those that have not joined.
+    fn oldest_unjoined(&self) -> Option<Rc<Peer>> {
+        let oldest = *self.unjoined.borrow().first()?;
+        self.open.borrow().get(&oldest).cloned()
     }
 
-    /// False where all have joined.
-    fn send_oldest_away(&self) -> bool {
-        let Some(oldest) = self.unjoined.borrow_mut().pop_first() else { return false };
-        self.close(oldest);
-        self.open.borrow_mut().remove(&oldest);
-        true
+    /// Bytes that a message of one who has joined may have, of which `kept` came before. Guards against a fleet
+    /// that has joined and sends long messages at once: together they would fill the memory, as each may be
+    /// longer by far than any that is sent in earnest.
+    fn longest(&self, kept: usize) -> usize {
+        let left = self.most_unfinished.saturating_sub(self.unfinished.get() - kept);
+        LONGEST.min(left).max(LONGEST_FIRST)
+    }
+}
+
+/// Sends the oldest of those away that have not joined, where there are too many connections; false where all
+/// have joined and no more fit.
+///
+/// Guards against strangers that hold descriptors which proxies need; a proxy dials and joins at once,
+/// so the oldest is the least likely to be one.
+fn make_room(pilot: &Pilot) -> bool {
+    let all = &pilot.connections;
+    let open = || all.open.borrow().len();
+    while open() >= all.most && send_oldest_away(pilot) {}
+    open() < all.most + NEWCOMERS
+}
+
+/// False where all have joined. Guards against sending a proxy away whose joining has come and has not been read,
+/// as while a whole fleet dials: what each has sent is read before it is judged.
+fn send_oldest_away(pilot: &Pilot) -> bool {
+    while let Some(oldest) = pilot.connections.oldest_unjoined() {
+        let ended = read_now(&oldest, pilot).is_some();
+        if ended || !oldest.joined.get() {
+            oldest.close();
+            pilot.connections.open.borrow_mut().remove(&oldest.number);
+            pilot.connections.unjoined.borrow_mut().remove(&oldest.number);
+            return true;
+        }
     }
+    false
 }
 
 pub async fn accept(socket: Async<TcpListener>, pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
@@ -138,11 +211,22 @@
         match socket.accept().await {
             Ok((stream, _)) => {
                 trouble = None;
-                pilot.connections.make_room();
-                // Orders are small and must not wait for one another's receipts.
+                // Orders are small and must not wait for one another's acknowledgements.
                 drop(stream.get_ref().set_nodelay(true));
-                let (number, outbox) = pilot.connections.enter();
-                executor.spawn(serve(stream, number, outbox, pilot.clone())).detach();
+                if make_room(&pilot) {
+                    let peer = pilot.connections.enter(stream);
+                    executor.spawn(serve(peer, pilot.clone())).detach();
+                } else {
+                    pilot.desk.borrow_mut().counts.full += 1;
+                    drop(stream.get_ref().write(REFUSED));
+                }
+                // Guards against a fleet that dials at once: those accepted are read, and those sent away give
+                // their descriptors back, before the next one is taken.
+                future::yield_now().await;
+            }
+            // Whoever dialled is gone again, and that is nobody else's fault.
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {
+                future::yield_now().await;
             }
             // Guards against limits that are lower than the configuration says: strangers must not hold the
             // last descriptor. One line of the log for as long as it lasts.
@@ -150,7 +234,10 @@
                 if trouble.replace(e.kind()) != Some(e.kind()) {
                     tracing::warn!(%e, "not accepted");
                 }
-                pilot.connections.send_oldest_away();
+                let full = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+                if Errno::from_io_error(&e).is_some_and(|errno| full.contains(&errno)) {
+                    send_oldest_away(&pilot);
+                }
                 Timer::after(Duration::from_secs_f64(PAUSE)).await;
             }
         }
@@ -167,67 +254,48 @@
     Ours,
 }
 
-async fn serve(stream: Async<TcpStream>, number: Connection, outbox: Rc<Outbox>, pilot: Rc<Pilot>) {
+async fn serve(peer: Rc<Peer>, pilot: Rc<Pilot>) {
     let deadline = async {
         Timer::after(Duration::from_secs_f64(JOIN_WITHIN)).await;
-        if outbox.joined.get() {
-            future::pending().await
-        } else {
-            pilot.desk.borrow_mut().counts.refused += 1;
-            End::Refused
+        // What came in time counts, also where it has not been read by now.
+        if let Some(end) = read_now(&peer, &pilot) {
+            return end;
         }
+        if peer.joined.get() {
+            return future::pending().await;
+        }
+        pilot.desk.borrow_mut().counts.refused += 1;
+        End::Refused
     };
-    let end = future::or(hear(&stream, number, &pilot), future::or(speak(&stream, &outbox), deadline)).await;
+    let end = future::or(hear(&peer, &pilot), future::or(speak(&peer), deadline)).await;
+    let joined = peer.joined.get();
+    // What is owed goes out before the end, as far as whoever dialled takes it: one that does not read holds
+    // nobody up. On a stream that gave way to another, or fell silent, nothing is owed.
+    let owed = !(joined && matches!(end, End::Ours));
+    let flushed = owed && peer.flush().is_ok();
     // Guards against a byte for a collector that is sent away or replaced, which has no use for any.
-    if !matches!(end, End::Theirs) && !outbox.joined.get() {
+    if !joined && flushed && !matches!(end, End::Theirs) {
         // Where it can't be written at once, the end of the connection says the same.
-        drop(stream.get_ref().write(REFUSED));
+        drop(peer.stream.get_ref().write(REFUSED));
     }
-    pilot.connections.leave(number);
-    pilot.desk.borrow_mut().ended(number);
+    pilot.connections.leave(&peer);
+    pilot.desk.borrow_mut().ended(peer.number);
     pilot.tell();
 }
 
-/// What one connection has sent of a message that has not ended, counted with that of all others.
-struct Unfinished<'a> {
-    lines: Lines,
-    counted: usize,
-    connections: &'a Connections,
-}
-
-impl Unfinished<'_> {
-    /// Bytes that a message of one who has joined may have. Guards against a fleet that has joined and sends long messages at once:
-    /// together they would fill the memory, as each may be longer by far than any that is sent in earnest.
-    fn longest(&self) -> usize {
-        let others = self.connections.unfinished.get() - self.counted;
-        let left = self.connections.most_unfinished.saturating_sub(others);
-        LONGEST.min(left).max(LONGEST_FIRST)
-    }
-
-    fn count(&mut self) {
-        let all = &self.connections.unfinished;
-        all.set(all.get() - self.counted + self.lines.kept());
-        self.counted = self.lines.kept();
-    }
-}
-
-impl Drop for Unfinished<'_> {
-    fn drop(&mut self) {
-        self.lines = Lines::default();
-        self.count();
-    }
-}
-
-async fn hear(stream: &Async<TcpStream>, number: Connection, pilot: &Pilot) -> End {
-    let mut begun = Unfinished { lines: Lines::default(), counted: 0, connections: &pilot.connections };
+async fn hear(peer: &Peer, pilot: &Pilot) -> End {
     loop {
-        match read(stream, &mut begun, number, pilot) {
+        // One that was sent away in this turn is not heard any more: it would join and be gone.
+        if peer.closed.get() {
+            return End::Ours;
+        }
+        match read(peer, pilot) {
             // One that never stops sending must leave turns to the others.
             Ok(None) => future::yield_now().await,
             Ok(Some(end)) => return end,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if stream.readable().await.is_err() {
+                if peer.stream.readable().await.is_err() {
                     return End::Theirs;
                 }
             }
@@ -236,74 +304,73 @@
     }
 }
 
-/// Takes in what can be read at once; tells where that was the end.
-fn read(
-    stream: &Async<TcpStream>,
-    begun: &mut Unfinished,
-    number: Connection,
-    pilot: &Pilot,
-) -> io::Result<Option<End>> {
+/// Takes in what can be read at once, without waiting; tells where that was the end.
+fn read_now(peer: &Peer, pilot: &Pilot) -> Option<End> {
+    match read(peer, pilot) {
+        Ok(end) => end,
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
+        Err(_) => Some(End::Theirs),
+    }
+}
+
+/// Takes in a buffer of what can be read; tells where that was the end.
+fn read(peer: &Peer, pilot: &Pilot) -> io::Result<Option<End>> {
     let mut buffer = pilot.connections.buffer.borrow_mut();
-    Ok(match stream.get_ref().read(&mut buffer)? {
+    Ok(match peer.stream.get_ref().read(&mut buffer)? {
         0 => Some(End::Theirs),
-        n if take(begun, &buffer[..n], number, pilot) => None,
+        n if take(peer, &buffer[..n], pilot) => None,
         _ => Some(End::Refused),
     })
 }
 
 /// Takes in bytes; false where the connection may not go on.
-fn take(begun: &mut Unfinished, bytes: &[u8], number: Connection, pilot: &Pilot) -> bool {
+fn take(peer: &Peer, bytes: &[u8], pilot: &Pilot) -> bool {
     let (now, mut good) = (pilot.clock.now(), true);
-    let most = begun.longest();
-    let longest = || if pilot.desk.borrow().has_joined(number) { most } else { LONGEST_FIRST };
-    let cut = begun.lines.cut(bytes, longest, |line| {
-        let reaction = pilot.desk.borrow_mut().line(number, line, now);
+    let mut begun = peer.begun.borrow_mut();
+    let kept = begun.kept();
+    let most = pilot.connections.longest(kept);
+    let longest = || if peer.joined.get() { most } else { LONGEST_FIRST };
+    let cut = begun.cut(bytes, longest, |line| {
+        let reaction = pilot.desk.borrow_mut().line(peer.number, line, now);
         match reaction {
             Reaction::Nothing => {}
-            Reaction::Answer(bytes) => pilot.connections.say(number, bytes.into()),
+            Reaction::Answer(bytes) => {
+                good = peer.say(bytes.into());
+                if !pilot.is_ready.replace(true) {
+                    tracing::info!(after_s = pilot.clock.age(), "ready");
+                }
+            }
             Reaction::Joined(replaced) => {
-                pilot.connections.has_joined(number);
+                pilot.connections.has_joined(peer);
                 if let Some(old) = replaced {
                     pilot.connections.close(old);
                 }
             }
             Reaction::Refuse(why) => {
-                tracing::debug!(number, %why, "sent away");
+                tracing::debug!(peer.number, %why, "sent away");
                 good = false;
             }
         }
         good
     });
-    begun.count();
+    let unfinished = &pilot.connections.unfinished;
+    unfinished.set(unfinished.get() - kept + begun.kept());
     pilot.tell();
     good && cut.is_ok()
 }
 
-async fn speak(stream: &Async<TcpStream>, outbox: &Outbox) -> End {
-    let mut begun = 0;
+async fn speak(peer: &Peer) -> End {
     loop {
-        let news = outbox.news.listen();
-        if outbox.closed.get() {
+        let news = peer.news.listen();
+        if peer.closed.get() {
             return End::Ours;
         }
-        let Some(bytes) = outbox.waiting.borrow().front().cloned() else {
-            news.await;
-            continue;
-        };
-        match stream.get_ref().write(&bytes[begun..]) {
-            Ok(n) => {
-                begun += n;
-                outbox.held.set(outbox.held.get() - n);
-                if begun == bytes.len() {
-                    begun = 0;
-                    outbox.waiting.borrow_mut().pop_front();
-                }
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+        match peer.flush() {
+            Ok(()) => news.await,
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 // Closing must not wait for one who does not read.
                 let writable = async {
-                    match stream.writable().await {
+                    match peer.stream.writable().await {
                         Ok(()) => None,
                         Err(_) => Some(End::Theirs),
                     }
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -6,9 +6,10 @@
 use oatlever::round::{Address, Beliefs, HealthAnswer, List, ListNews, Round, Stream, Tries};
 use oatlever_instance::Start;
 use oatlever_platform::message::{self, Join, Message, Wrong, ALIVE};
-use oatlever_platform::{patience, Connection, Names, Publisher, Role, Sessions};
-use oatlever_roster::platform::{PlatformDocument, Register};
-use std::collections::BTreeSet;
+use oatlever_platform::{patience, Connection, Joining, Names, Publisher, Role, Sessions};
+use oatlever_roster::platform::{Origin, PlatformDocument, Register};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// What the pilot met since its start.
@@ -24,6 +25,8 @@
     pub strange: u64,
     pub spoilt: u64,
     pub refused: u64,
+    /// Connections sent away as all places were held by those who have joined.
+    pub full: u64,
     pub joined: u64,
     pub left: u64,
     /// Those of them that were taken for gone as they owed a word for too long.
@@ -47,11 +50,14 @@
     Refuse(String),
 }
 
+/// One run of a server: where it listens, and when it started.
+pub type Process = (SocketAddr, f64);
+
 /// What a round comes to.
 #[derive(Debug, Default)]
 pub struct Done {
     pub messages: Vec<(Connection, Rc<[u8]>)>,
-    pub checks: Vec<Address>,
+    pub checks: Vec<(Address, Process)>,
     /// The list is to be followed, or read whole.
     pub ask_list: bool,
     /// Connections that have fallen silent, to be closed.
@@ -66,7 +72,8 @@
     pub register: Register,
     round: Round,
     wakes: Wakes,
-    checking: BTreeSet<Address>,
+    /// Servers whose health is being checked, and the process that is asked.
+    checking: BTreeMap<Address, Process>,
     /// s; how long a proxy may owe a word.
     patience: f64,
     pub counts: Counts,
@@ -90,14 +97,34 @@
             register: Register::default(),
             round: Round::default(),
             wakes: Wakes::default(),
-            checking: BTreeSet::new(),
+            checking: BTreeMap::new(),
             counts: Counts::default(),
             beliefs: Beliefs::default(),
         }
     }
 
-    pub fn has_joined(&self, connection: Connection) -> bool {
-        self.sessions.role(connection).is_some()
+    /// Why nobody is served, where that is so although proxies look for a pilot; `turned_away` as counted when
+    /// this was asked last.
+    pub fn idles(&self, turned_away: u64) -> Option<&'static str> {
+        let joined = self.sessions.proxies().next().is_some();
+        if self.publisher.serves() || !(joined || self.turned_away() > turned_away) {
+            return None;
+        }
+        Some(match self.register.sizes() {
+            _ if !joined => "all who dial are sent away",
+            _ if self.register.version.is_none() => "no list of servers was told",
+            (0, _) => "the list of servers is empty",
+            _ => "proxies have joined and hold no table: no server is open, or the channel is full",
+        })
+    }
+
+    pub fn serves(&self) -> bool {
+        self.publisher.serves()
+    }
+
+    /// Connections sent away so far.
+    pub fn turned_away(&self) -> u64 {
+        self.counts.refused + self.counts.full
     }
 
     /// Takes in a line that came on a connection.
@@ -117,7 +144,7 @@
                 self.refuse(what)
             }
             (Err(Wrong::Spoilt(what)), Some(_)) => self.spoilt(line, &what),
-            (Ok(message), Some(role)) => self.report(message, role, line),
+            (Ok(message), Some(role)) => self.report(message, connection, role, line),
         }
     }
 
@@ -134,7 +161,13 @@
     }
 
     fn join(&mut self, connection: Connection, join: &Join, now: f64) -> Reaction {
-        let Some(replaced) = self.sessions.join(connection, join, now) else { return Reaction::Nothing };
+        let replaced = match self.sessions.join(connection, join, now) {
+            Joining::New(replaced) => replaced,
+            Joining::Again => return Reaction::Nothing,
+            Joining::Outdated => {
+                return self.refuse("a later connection has joined in its place".to_string())
+            }
+        };
         self.counts.joined += 1;
         if let Join::Proxy { proxy, zone, rate } = *join {
             self.publisher.forget(proxy);
@@ -143,7 +176,7 @@
         Reaction::Joined(replaced)
     }
 
-    fn report(&mut self, message: Message, role: Role, line: &[u8]) -> Reaction {
+    fn report(&mut self, message: Message, connection: Connection, role: Role, line: &[u8]) -> Reaction {
         match (message, role) {
             (Message::Met(met), Role::Collector(_)) => match self.register.number(&met.server) {
                 None => self.counts.strange += 1,
@@ -166,6 +199,9 @@
                 self.round.queries.push(queries)
             }
             (Message::Receipt(receipt), Role::Proxy(proxy)) if receipt.proxy == proxy => {
+                if !self.sessions.answer(connection, receipt.number) {
+                    return self.spoilt(line, "no mark that was written on this stream");
+                }
                 self.round.receipts.push(receipt)
             }
             _ => return self.spoilt(line, "not for whoever joined here to say"),
@@ -182,10 +218,9 @@
         }
     }
 
-    /// A list of servers, or news of it; `cached` is the one that a pilot starts with. Errors: it is older than
-    /// what is held.
-    pub fn list(&mut self, document: &PlatformDocument, cached: bool) -> Result<(), String> {
-        let list = self.register.take(document, cached)?;
+    /// A list of servers, or news of it. Errors: it is older than what is held, or nothing in it can be used.
+    pub fn list(&mut self, document: &PlatformDocument, origin: Origin) -> Result<(), String> {
+        let list = self.register.take(document, origin)?;
         if !document.mistakes.is_empty() {
             tracing::warn!(mistakes = document.mistakes.join("; "), "list of servers read in part");
         }
@@ -204,9 +239,17 @@
         }
     }
 
-    pub fn checked(&mut self, server: Address, fine: bool) {
-        self.checking.remove(&server);
-        self.round.health.push(HealthAnswer { server, fine });
+    /// A process that was checked has answered, or has not.
+    ///
+    /// Guards against an answer that counts for another: while it was under way the server may have been removed,
+    /// or replaced under the same name, which is then checked by itself.
+    pub fn checked(&mut self, server: Address, process: Process, fine: bool) {
+        if self.checking.get(&server) == Some(&process) {
+            self.checking.remove(&server);
+            if self.register.process(server) == Some(process) {
+                self.round.health.push(HealthAnswer { server, fine });
+            }
+        }
     }
 
     fn has_news(&self) -> bool {
@@ -226,7 +269,7 @@
         round.now = now;
         self.counts.rounds += 1;
         self.balancer.round(&round, &mut self.publisher);
-        let (marked, name) = (self.publisher.is_marked(), |server| self.register.name(server));
+        let (marked, name) = (self.publisher.marked(), |server| self.register.name(server));
         let (messages, chores) = self.publisher.finish(self.sessions.proxies(), &name);
         for (after, number) in chores.wakes {
             self.wakes.ask(now + after, number);
@@ -237,11 +280,16 @@
         if !messages.is_empty() {
             self.beliefs = self.balancer.beliefs(now);
         }
-        let checks = chores.checks.into_iter().filter(|server| self.checking.insert(*server)).collect();
+        let due = |server| Some((server, self.register.process(server)?));
+        let checks: Vec<_> = chores.checks.into_iter().filter_map(due).collect();
+        let is_new = |(server, process): &(Address, Process)| {
+            self.checking.insert(*server, *process).is_none_or(|under_way| under_way != *process)
+        };
+        let checks = checks.into_iter().filter(is_new).collect();
         let to = |(proxy, bytes)| Some((self.sessions.of(proxy)?, bytes));
         let messages: Vec<_> = messages.into_iter().filter_map(to).collect();
-        for (connection, _) in messages.iter().filter(|_| marked) {
-            self.sessions.ask(*connection, now);
+        for (connection, mark) in messages.iter().filter_map(|(to, _)| Some((to, marked?))) {
+            self.sessions.ask(*connection, mark, now);
         }
         self.counts.written += messages.len() as u64;
         let silent = self.sessions.silent(now, self.patience);
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -3,7 +3,7 @@
 use super::Pilot;
 use async_io::Timer;
 use futures_lite::future;
-use oatlever_roster::platform::Watch;
+use oatlever_roster::platform::{Origin, PlatformDocument, Watch};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,49 +19,105 @@
 const PAUSE_FAILED: f64 = 0.1;
 const LONGEST_PAUSE: f64 = 0.8;
 
+/// s; a source that has told nothing but older versions for so long counts them anew: by the protocol what it
+/// has to tell comes 6 s later at the latest, so one that lags has caught up by then.
+const LAGS: f64 = 6.0;
+
+/// What of the list is to be asked for next, and how soon.
+struct Course {
+    /// All of it, and not only what is newer.
+    whole: bool,
+    /// What could not be used of the last list that had any such entry.
+    mistakes: Vec<String>,
+    /// Since when only older versions are told.
+    older_since: Option<f64>,
+    pause_failed: f64,
+    trouble: String,
+}
+
+impl Course {
+    /// Takes in a document. Errors: it is of no use.
+    fn take(&mut self, document: &PlatformDocument, pilot: &Pilot) -> Result<(), String> {
+        let (mut desk, now) = (pilot.desk.borrow_mut(), pilot.clock.now());
+        let older = desk.register.is_older(document);
+        let since = *self.older_since.get_or_insert(now);
+        let anew = older && document.whole && now - since > LAGS;
+        if !older || anew {
+            self.older_since = None;
+        }
+        if anew {
+            tracing::warn!(version = document.version, held = desk.register.version, "versions start anew");
+        }
+        desk.list(document, if anew { Origin::Anew } else { Origin::Told })
+    }
+
+    /// Goes on after an answer; tells whether it was of use, and how long to wait before the next call.
+    fn after(&mut self, answer: Result<PlatformDocument, String>, pilot: &Pilot) -> (bool, f64) {
+        let taken = answer.and_then(|document| match self.take(&document, pilot) {
+            Ok(()) => Ok(document),
+            // Changes to another list than the one that is held tell nothing: all of it does.
+            Err(what) => {
+                self.whole = true;
+                Err(what)
+            }
+        });
+        match taken {
+            Ok(document) => {
+                if !std::mem::take(&mut self.trouble).is_empty() {
+                    tracing::info!(version = document.version, "list of servers is told again");
+                }
+                // Guards against a change that is lost because its entry could not be used and the version has
+                // moved on: all is read anew. What is wrong with it then too is not the way's fault, and is left.
+                let known = document.whole && document.mistakes == self.mistakes;
+                self.whole = !document.mistakes.is_empty() && !known;
+                self.mistakes = document.mistakes;
+                self.pause_failed = PAUSE_FAILED;
+                (true, if self.whole { PAUSE_FAILED } else { PAUSE })
+            }
+            Err(what) => {
+                if what != self.trouble {
+                    tracing::warn!(%what, "no list of servers");
+                    self.trouble = what;
+                }
+                let longer = (self.pause_failed * 2.0).min(LONGEST_PAUSE);
+                (false, std::mem::replace(&mut self.pause_failed, longer))
+            }
+        }
+    }
+}
+
 /// Runs for ever. A list that is followed only on request is asked for where the decisions say so.
 pub async fn follow(pilot: Rc<Pilot>, zones: Vec<String>, always: bool) {
-    let (mut whole, mut following, mut trouble) = (true, always, String::new());
-    let (mut watch, mut pause_failed) = (Watch::default(), PAUSE_FAILED);
+    let (mut following, mut watch) = (always, Watch::default());
+    let mut course = Course {
+        whole: true,
+        mistakes: Vec::new(),
+        older_since: None,
+        pause_failed: PAUSE_FAILED,
+        trouble: String::new(),
+    };
     loop {
         let told = pilot.told_to_ask.listen();
         if pilot.ask_anew.take() {
-            (whole, following) = (true, true);
+            (course.whole, following) = (true, true);
         }
         if !following {
             told.await;
             continue;
         }
-        let after = pilot.desk.borrow().register.version.filter(|_| !whole);
+        let after = pilot.desk.borrow().register.version.filter(|_| !course.whole);
         let asked = async { Some(watch.ask(pilot.discovery.get(), after, &zones, (WAIT, PATIENCE)).await) };
         let told_anew = async {
             told.await;
             None
         };
-        let Some(answer) = future::or(asked, told_anew).await else { continue };
-        let taken = answer.and_then(|document| {
-            pilot.desk.borrow_mut().list(&document, false)?;
-            Ok(document.version)
-        });
-        let pause = match taken {
-            Ok(version) => {
-                if !std::mem::take(&mut trouble).is_empty() {
-                    tracing::info!(version, "list of servers is told again");
-                }
-                (whole, pause_failed) = (false, PAUSE_FAILED);
-                PAUSE
-            }
-            Err(what) => {
-                if what != trouble {
-                    tracing::warn!(%what, "no list of servers");
-                    trouble = what;
-                }
-                pilot.desk.borrow_mut().list_missed(!always);
-                following = always;
-                let longer = (pause_failed * 2.0).min(LONGEST_PAUSE);
-                std::mem::replace(&mut pause_failed, longer)
-            }
-        };
+        // An answer that is there when discovery has moved is of the old one, and is left.
+        let Some(answer) = future::or(told_anew, asked).await else { continue };
+        let (taken, pause) = course.after(answer, &pilot);
+        if !taken {
+            pilot.desk.borrow_mut().list_missed(!always);
+            following = always;
+        }
         pilot.tell();
         Timer::after(Duration::from_secs_f64(pause)).await;
     }
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -18,10 +18,11 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use connections::Connections;
-use desk::Desk;
+use desk::{Desk, Process};
 use event_listener::Event;
 use futures_lite::{future, StreamExt};
 use oatlever::round::Address;
+use oatlever_roster::platform::Origin;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -31,6 +32,8 @@
 /// Descriptors that are not connections of proxies and strangers: standard streams, the reactor's, the
 /// listener, signals, calls to discovery and checks, with a few to spare.
 const OWN_DESCRIPTORS: usize = 32;
+/// Descriptors below which a pilot could take nobody in.
+const LEAST_SOCKETS: usize = OWN_DESCRIPTORS + connections::NEWCOMERS + 1;
 /// One part in so many of the memory may be held by messages that have begun and not ended.
 const UNFINISHED_PART: usize = 4;
 /// Health checks under way at once, each a descriptor.
@@ -48,6 +51,8 @@
     desk: RefCell<Desk>,
     connections: Connections,
     discovery: Cell<SocketAddr>,
+    /// It has answered a sign of life.
+    is_ready: Cell<bool>,
     /// Something came in that a round should take up.
     news: Event,
     /// The list is to be asked for anew, and whole; kept here as nobody may be listening when it is told.
@@ -76,8 +81,8 @@
         for (connection, bytes) in done.messages {
             pilot.connections.say(connection, bytes);
         }
-        for server in done.checks {
-            executor.spawn(check(pilot.clone(), server, probes.clone(), patience)).detach();
+        for (server, process) in done.checks {
+            executor.spawn(check(pilot.clone(), server, process, probes.clone(), patience)).detach();
         }
         for connection in done.silent {
             tracing::info!(connection, "fell silent");
@@ -99,20 +104,23 @@
     }
 }
 
-async fn check(pilot: Rc<Pilot>, server: Address, probes: Rc<Probes>, patience: f64) {
-    let host = pilot.desk.borrow().register.host(server);
-    let fine = match host {
-        Some(host) => probes.is_fine(host, HEALTH.to_string(), patience).await,
-        // Forgotten meanwhile: nobody is there to ask, and the decisions are owed an answer all the same.
-        None => false,
-    };
-    pilot.desk.borrow_mut().checked(server, fine);
+async fn check(pilot: Rc<Pilot>, server: Address, process: Process, probes: Rc<Probes>, patience: f64) {
+    let fine = probes.is_fine(process.0, HEALTH.to_string(), patience).await;
+    pilot.desk.borrow_mut().checked(server, process, fine);
     pilot.tell();
 }
 
 /// Takes up a replaced configuration; of it only discovery's address can change under a running pilot.
-fn reload(pilot: &Pilot, path: &Path) -> bool {
-    match Configuration::load(path) {
+///
+/// Guards against the file of another deployment, whose discovery lists servers that no proxy here may be sent to.
+fn reload(pilot: &Pilot, path: &Path, names: &oatlever_instance::Names) -> bool {
+    let ours =
+        |fresh: &Configuration| (&fresh.names.zones, &fresh.names.classes) == (&names.zones, &names.classes);
+    let fresh = Configuration::load(path).and_then(|fresh| match ours(&fresh) {
+        true => Ok(fresh),
+        false => Err(format!("{}: `settings` has other zones or classes", path.display())),
+    });
+    match fresh {
         Ok(fresh) => {
             tracing::info!(discovery = %fresh.discovery, "configuration taken up");
             pilot.discovery.set(fresh.discovery);
@@ -130,10 +138,22 @@
 const RELOADS: usize = 10;
 const RELOAD_PAUSE: f64 = 0.1;
 
+/// What a pilot has before it has read anything.
+pub struct Begun {
+    signals: Signals,
+    clock: Clock,
+}
+
+/// To be called before anything else: a signal that comes earlier ends the process by itself, and one that comes
+/// between this and the loop is taken up there.
+pub fn begin() -> Result<Begun, String> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    Ok(Begun { signals: signals.map_err(|e| format!("signals: {e}"))?, clock: Clock::unix() })
+}
+
 /// Runs until SIGTERM or SIGINT. Errors: what could not be started.
-pub fn run(configuration: Configuration, path: PathBuf) -> Result<(), String> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+pub fn run(configuration: Configuration, path: PathBuf, begun: Begun) -> Result<(), String> {
+    let Begun { mut signals, clock } = begun;
     let Configuration { name, listen: host, discovery, seed, sockets, memory, known, start, names } =
         configuration;
     let socket = listen(host).and_then(Async::new);
@@ -141,18 +161,18 @@
     // The port is the system's where any is asked for by 0.
     let host = socket.get_ref().local_addr().unwrap_or(host);
     tracing::debug!(?start, ?names, "told");
-    let clock = Clock::unix();
     let follows = !start.site.list_on_request;
     let mut desk = Desk::new(start, &names, seed);
-    desk.list(&known, true)?;
+    // Guards against a start that is refused for what discovery tells anew anyway.
+    if let Err(what) = desk.list(&known, Origin::Cached) {
+        tracing::warn!(%what, "known list left aside");
+    }
     let pilot = Rc::new(Pilot {
         clock,
         desk: RefCell::new(desk),
-        connections: Connections::new(
-            sockets.saturating_sub(OWN_DESCRIPTORS).max(1),
-            memory / UNFINISHED_PART,
-        ),
+        connections: Connections::new(sockets - OWN_DESCRIPTORS, memory / UNFINISHED_PART),
         discovery: Cell::new(discovery),
+        is_ready: Cell::new(false),
         news: Event::new(),
         ask_anew: Cell::new(false),
         told_to_ask: Event::new(),
@@ -181,7 +201,7 @@
                 Some(Some(Ok(Signal::Hup))) => RELOADS,
                 Some(_) => break,
             };
-            if reload(&pilot, &path) {
+            if reload(&pilot, &path, &names) {
                 tries = 0;
             }
         }
@@ -192,9 +212,16 @@
 }
 
 async fn tell_counts(pilot: Rc<Pilot>) {
+    let (mut idle, mut turned_away) = (None, 0);
     loop {
         Timer::after(Duration::from_secs_f64(TELL_EVERY)).await;
         let desk = pilot.desk.borrow();
+        let cause = desk.idles(std::mem::replace(&mut turned_away, desk.turned_away()));
+        match (std::mem::replace(&mut idle, cause), cause) {
+            (before, Some(cause)) if before != Some(cause) => tracing::warn!(cause, "serves nobody"),
+            (Some(_), None) if desk.serves() => tracing::info!("serves again"),
+            _ => {}
+        }
         let (listed, remembered) = desk.register.sizes();
         let (open, unjoined) = pilot.connections.sizes();
         tracing::info!(open, unjoined, listed, remembered, beliefs = ?desk.beliefs, counts = ?desk.counts, "so far");
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -1,107 +1,14 @@
 //! The pilot on the platform as a process, against a small platform on loopback.
 
-use oatlever_standins::platform::{server, Discovery, Peer, Spoilt};
-use serde_json::{json, Value};
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+mod harness;
+
+use harness::{configuration, refused, Pilot, LONG};
+use oatlever_standins::platform::{Discovery, Peer, Spoilt};
+use serde_json::json;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::Duration;
 
-/// More than any step takes on a busy machine; reached only where something is wrong.
-const LONG: Duration = Duration::from_secs(20);
-
-struct Pilot {
-    child: Child,
-    host: SocketAddr,
-    path: PathBuf,
-}
-
-fn configuration(discovery: SocketAddr, sockets: u32) -> Value {
-    let lane = |name: &str, worth: f64| json!({"name": name, "slo-ms": 1000.0, "worth": worth});
-    json!({
-        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
-        "known": {"version": 1, "full": true, "servers": [server("s-1", "up"), server("s-old", "up")]},
-        "settings": {
-            "family-info": {"egress-per-s": 8600.0, "head": 4.0, "level-kind": "share", "partitions-n": 0,
-                "data-plane-size": 9, "choice": "weighted", "period-ms": 1000.0, "queue-cap": 8600.0,
-                "reloads-max": 0, "transit-max-ms": 545.0, "update-window-ms": 10000.0,
-                "write-life-ms": 4020.0},
-            "lanes": [lane("lookup", 1.0), lane("order", 3.0)],
-            "limits": {"probes": false, "connect-timeout-ms": 300.0},
-            "registry-mode": "pushed", "siblings": 1, "tick-ms": 2.0, "zones": ["a", "b"],
-            "rules": {"ask-within-ms": 10000.0, "fall-multiple": 2.5, "start-capacity": 0.15,
-                "warm-within-ms": 16000.0}
-        }
-    })
-}
-
-fn written(name: &str, configuration: &Value) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("oatlever-{}-{name}.json", std::process::id()));
-    std::fs::write(&path, configuration.to_string()).unwrap();
-    path
-}
-
-/// What a program says that does not start for its configuration.
-fn refused(name: &str, configuration: &Value) -> String {
-    let path = written(name, configuration);
-    let mut program = Command::new(env!("CARGO_BIN_EXE_oatlever"));
-    let told = program.arg("platform").arg(&path).env_remove("BALANCER_LISTEN").output().unwrap();
-    std::fs::remove_file(&path).unwrap();
-    assert_eq!(told.status.code(), Some(2));
-    String::from_utf8(told.stderr).unwrap()
-}
-
-impl Pilot {
-    fn start(name: &str, configuration: &Value) -> Pilot {
-        Pilot::start_by(&mut Command::new(env!("CARGO_BIN_EXE_oatlever")), name, configuration)
-    }
-
-    /// Starts one and waits until it says where it listens.
-    fn start_by(program: &mut Command, name: &str, configuration: &Value) -> Pilot {
-        let path = written(name, configuration);
-        let mut child = program
-            .args(["platform", path.to_str().unwrap(), "--log", "json"])
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let first: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
-        assert_eq!(first["fields"]["message"], "serving the platform");
-        let host = first["fields"]["host"].as_str().unwrap().parse().unwrap();
-        // The rest of the log is read on, so that the pilot never waits for a full pipe.
-        std::thread::spawn(move || lines.for_each(drop));
-        Pilot { child, host, path }
-    }
-
-    fn dial(&self) -> Peer {
-        Peer::dial(self.host, LONG).unwrap()
-    }
-
-    /// Joins a proxy and waits for its table.
-    fn proxy(&self, number: u16, named: &str) -> Peer {
-        let mut peer = self.dial();
-        peer.say(json!({"msg": "attach", "proxy": number, "zone": "a", "weight": 2.5, "fresh": true}))
-            .unwrap();
-        assert!(peer.holds(LONG, |table| table.contains_key(named)), "{:?}", peer.table);
-        peer
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
-    }
-}
-
-impl Drop for Pilot {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.path);
-    }
-}
-
 #[test]
 fn a_proxy_follows_the_list_through_the_pilot() {
     let discovery = Discovery::start().unwrap();
@@ -421,5 +328,8 @@
     let mut wrong = configuration("127.0.0.1:9".parse().unwrap(), 64);
     wrong["settings"]["family-info"]["head"] = json!("four");
     let text = refused("wrong", &wrong);
-    assert!(text.contains("`family-info.head` is not a number of 0 or more"), "{text}");
+    assert!(
+        text.contains("`settings.family-info.head` is \"four\", not a number from 0 to 1000000000"),
+        "{text}"
+    );
 }
--- a/roster/src/platform.rs
+++ b/roster/src/platform.rs
@@ -42,6 +42,8 @@
     pub servers: Vec<PlatformServer>,
     /// What could not be used, by its place.
     pub mistakes: Vec<String>,
+    /// Servers that those entries name, where they do.
+    pub unread: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -86,6 +88,12 @@
 }
 
 impl PlatformDocument {
+    /// A list of nothing that is older than any other.
+    pub fn empty() -> Self {
+        let (servers, mistakes, unread) = (Vec::new(), Vec::new(), Vec::new());
+        PlatformDocument { version: 0, whole: true, servers, mistakes, unread }
+    }
+
     /// Reads a document. Errors: it is none. Servers that can't be used are left out and told.
     pub fn read(bytes: &[u8], zones: &[String]) -> Result<Self, String> {
         let wire: Wire = serde_json::from_slice(bytes).map_err(|e| format!("not a list: {e}"))?;
@@ -99,14 +107,17 @@
     }
 
     fn of(wire: Wire, zones: &[String]) -> Self {
-        let (mut servers, mut mistakes) = (Vec::new(), Vec::new());
+        let (mut servers, mut mistakes, mut unread) = (Vec::new(), Vec::new(), Vec::new());
         for (n, value) in wire.servers.iter().enumerate() {
             match server(value, zones) {
                 Ok(server) => servers.push(server),
-                Err(what) => mistakes.push(format!("/servers/{n}: {what}")),
+                Err(what) => {
+                    mistakes.push(format!("/servers/{n}: {what}"));
+                    unread.extend(value["id"].as_str().map(str::to_string));
+                }
             }
         }
-        PlatformDocument { version: wire.version, whole: wire.full, servers, mistakes }
+        PlatformDocument { version: wire.version, whole: wire.full, servers, mistakes, unread }
     }
 }
 
@@ -114,6 +125,18 @@
 struct Known {
     name: Rc<str>,
     host: SocketAddr,
+    /// What was last told of it.
+    entry: Entry,
+}
+
+/// Where a document comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The list that a pilot starts with.
+    Cached,
+    Told,
+    /// Told by a source whose versions have started anew, so that they compare with none that are held.
+    Anew,
 }
 
 /// Which server is which: names of the platform, numbers of the decisions.
@@ -131,22 +154,41 @@
 }
 
 impl Register {
-    /// Takes in a document and tells what it means to the decisions. The list that a pilot starts with
-    /// counts as `cached`. Errors: it is older than what is held, which stays.
+    /// Takes in a document and tells what it means to the decisions. Errors: it is older than what is held, or
+    /// nothing in it can be used; what is held stays.
     ///
     /// Guards against a source that lags behind, as one that a pilot is moved to: servers that drain or
     /// are removed would be taken for open ones.
-    pub fn take(&mut self, document: &PlatformDocument, cached: bool) -> Result<List, String> {
-        if let Some(held) = self.version.filter(|held| document.version < *held) {
+    ///
+    /// In a whole list, a server whose entry can't be used stays as it was told last, and one that is not there is
+    /// gone. Guards against one odd entry that keeps all removed servers listed, or that drops the server it
+    /// speaks of.
+    pub fn take(&mut self, document: &PlatformDocument, origin: Origin) -> Result<List, String> {
+        if let Some(held) = self.version.filter(|_| self.is_older(document) && origin != Origin::Anew) {
             return Err(format!("version {} is older than {held}, which is held", document.version));
         }
-        let whole = document.whole && document.mistakes.is_empty();
+        if let Some(first) = document.mistakes.first().filter(|_| document.servers.is_empty()) {
+            return Err(format!("version {}: nothing in it can be used: {first}", document.version));
+        }
+        let whole = document.whole;
+        let mut servers = document.servers.clone();
+        if origin == Origin::Anew {
+            servers.iter_mut().for_each(|server| server.readiness = self.readiness_anew(server));
+        }
+        let mut entries = Vec::new();
         if whole {
             for (_, listed) in self.listed.iter_mut() {
                 *listed = false;
             }
+            for name in &document.unread {
+                let Some(number) = self.number(name) else { continue };
+                if let Some(listed) = self.listed.get_mut(&number) {
+                    *listed = true;
+                    entries.extend(self.known.get(&number).map(|known| known.entry.clone()));
+                }
+            }
         }
-        let entries: Vec<Entry> = document.servers.iter().map(|server| self.entry(server)).collect();
+        entries.extend(servers.iter().map(|server| self.entry(server)));
         let gone: Vec<Address> = self.listed.extract_if(.., |_, listed| !*listed).map(|(a, _)| a).collect();
         self.removed.extend(gone);
         while self.removed.len() > REMEMBERED {
@@ -154,14 +196,38 @@
             forgotten.map(|known| self.numbers.remove(&known.name));
         }
         self.version = Some(document.version);
-        let news = match (whole, cached) {
-            (true, true) => ListNews::Cached,
-            (true, false) => ListNews::Full,
+        let news = match (whole, origin) {
+            (true, Origin::Cached) => ListNews::Cached,
+            (true, _) => ListNews::Full,
             (false, _) => ListNews::Changes,
         };
         Ok(List { news, entries })
     }
 
+    /// Whether a document has an older version than what is held.
+    pub fn is_older(&self, document: &PlatformDocument) -> bool {
+        self.version.is_some_and(|held| document.version < held)
+    }
+
+    /// What a list of another count of versions says of a server, which may be older than what is held: one that
+    /// drained or went opens again only where it has restarted since.
+    fn readiness_anew(&self, server: &PlatformServer) -> Readiness {
+        let number = self.number(&server.name);
+        let held = number.and_then(|number| Some((number, &self.known.get(&number)?.entry)));
+        match held {
+            Some((number, entry))
+                if entry.started == server.started && server.readiness == Readiness::Ready =>
+            {
+                if self.listed.contains_key(&number) {
+                    entry.readiness
+                } else {
+                    Readiness::Gone
+                }
+            }
+            _ => server.readiness,
+        }
+    }
+
     fn entry(&mut self, server: &PlatformServer) -> Entry {
         let name: Rc<str> = server.name.as_str().into();
         let next = &mut self.next;
@@ -169,7 +235,6 @@
             *next = next.wrapping_add(1);
             Address { host: next.to_be_bytes(), port: 0 }
         });
-        self.known.insert(number, Known { name, host: server.host });
         let listed = server.readiness != Readiness::Gone;
         if listed && self.listed.insert(number, true).is_none() {
             self.removed.retain(|old| *old != number);
@@ -182,14 +247,16 @@
             }
             self.kinds.len() - 1
         });
-        Entry {
+        let entry = Entry {
             server: number,
             zone: server.zone,
             kind: kind as u8,
             readiness: server.readiness,
             weight: server.weight,
             started: server.started,
-        }
+        };
+        self.known.insert(number, Known { name, host: server.host, entry: entry.clone() });
+        entry
     }
 
     /// The number of a server by its name; none where no list has named it lately.
@@ -201,9 +268,10 @@
         self.known.get(&server).map(|known| known.name.clone())
     }
 
-    /// Where a server listens, as far as this pilot is told.
-    pub fn host(&self, server: Address) -> Option<SocketAddr> {
-        self.known.get(&server).map(|known| known.host)
+    /// Where a server that is listed listens, as far as this pilot is told, and when it started.
+    pub fn process(&self, server: Address) -> Option<(SocketAddr, f64)> {
+        let known = self.known.get(&server).filter(|_| self.listed.contains_key(&server))?;
+        Some((known.host, known.entry.started))
     }
 
     /// Servers listed now, and those remembered besides.
@@ -243,7 +311,8 @@
                     other => return other.map(|answer| (kept, answer)),
                 }
             }
-            let mut fresh = fetch::Connection::dial(host, None).await?;
+            // Guards against a silent machine that takes the whole wait before a word is said.
+            let mut fresh = fetch::within(patience, fetch::Connection::dial(host, None)).await?;
             let answer = fresh.get(&path, false, LONGEST_DOCUMENT).await?;
             Ok((fresh, answer))
         };
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// A server as the list names it, of zone `a`.
@@ -35,6 +35,14 @@
     Older,
     /// None comes, and the connection stays.
     Silent,
+    /// Half of its head comes, and the connection stays.
+    SilentInHead,
+    /// Half of its body comes, and the connection stays.
+    SilentInBody,
+    /// Entries have a state that does not exist.
+    Odd,
+    /// All of the list comes, whatever was asked for.
+    Whole,
     HungUp,
 }
 
@@ -69,6 +77,29 @@
         self.shared.1.notify_all();
     }
 
+    /// Puts an entry into the list as it is given; none takes it out without a word to those who watch.
+    pub fn put(&self, id: &str, entry: Option<Value>) {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        match entry {
+            Some(entry) => {
+                held.version += 1;
+                let version = held.version;
+                held.servers.insert(id.to_string(), (version, entry));
+            }
+            None => drop(held.servers.remove(id)),
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// Has versions start anew, with these servers.
+    pub fn count_anew(&self, servers: &[(&str, &str)]) {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        held.version = 1;
+        let entries = servers.iter().map(|(id, state)| (id.to_string(), (1, server(id, state))));
+        held.servers = entries.collect();
+        self.shared.1.notify_all();
+    }
+
     /// Spoils the next answers, each in its way, and waits until they were asked for; false where they are not
     /// `within` that.
     pub fn spoil(&self, ways: &[Spoilt], within: Duration) -> bool {
@@ -76,6 +107,20 @@
         held.spoilt.extend(ways);
         // Whoever waits for news gets the first of them.
         held.version += 1;
+        self.is_spoilt(held, within)
+    }
+
+    /// Has the list say so of a server, and spoils the answer that tells it first.
+    pub fn spoil_next(&self, way: Spoilt, id: &str, state: &str, within: Duration) -> bool {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        held.version += 1;
+        let version = held.version;
+        held.servers.insert(id.to_string(), (version, server(id, state)));
+        held.spoilt.push_back(way);
+        self.is_spoilt(held, within)
+    }
+
+    fn is_spoilt(&self, held: MutexGuard<State>, within: Duration) -> bool {
         self.shared.1.notify_all();
         let left = |state: &mut State| !state.spoilt.is_empty();
         let (_held, late) = self.shared.1.wait_timeout_while(held, within, left).expect("no thread panics");
@@ -125,8 +170,12 @@
         }
         let spoilt = held.spoilt.pop_front();
         shared.1.notify_all();
+        let index = index.filter(|_| !matches!(spoilt, Some(Spoilt::Whole)));
         let news = held.servers.values().filter(|(version, _)| index.is_none_or(|index| *version > index));
-        let servers: Vec<&Value> = news.map(|(_, server)| server).collect();
+        let mut servers: Vec<Value> = news.map(|(_, server)| server.clone()).collect();
+        if let Some(Spoilt::Odd) = spoilt {
+            servers.iter_mut().for_each(|server| server["state"] = json!(7));
+        }
         let body = match spoilt {
             Some(Spoilt::NoList) => json!({"servers": "all"}),
             Some(Spoilt::Older) => json!({"version": 0, "full": true, "servers": []}),
@@ -138,6 +187,13 @@
         match spoilt {
             Some(Spoilt::HungUp) => return Ok(()),
             Some(Spoilt::Silent) => return reader.read_line(&mut first).map(drop),
+            Some(Spoilt::SilentInHead | Spoilt::SilentInBody) => {
+                let head = told.len() - body.len();
+                let some =
+                    if matches!(spoilt, Some(Spoilt::SilentInHead)) { head / 2 } else { told.len() - 2 };
+                (&stream).write_all(&told.as_bytes()[..some])?;
+                return reader.read_line(&mut first).map(drop);
+            }
             Some(Spoilt::Cut) => return (&stream).write_all(&told.as_bytes()[..told.len() - body.len() / 2]),
             _ => (&stream).write_all(told.as_bytes())?,
         }
@@ -167,6 +223,11 @@
         self.stream.write_all(bytes)
     }
 
+    /// Says that nothing more will be sent.
+    pub fn half_close(&mut self) -> io::Result<()> {
+        self.stream.shutdown(std::net::Shutdown::Write)
+    }
+
     pub fn say(&mut self, message: Value) -> io::Result<()> {
         self.send(format!("{message}\n").as_bytes())
     }
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -146,10 +146,14 @@
         (batch(&[[bytes("010a 0003"), vec![0; 32], vec![5]].concat()], &[]), "a load report of 5 values"),
         (batch(&[enlist(5, 0, 3)], b"{{{"), "not JSON"),
         (batch(&[enlist(5, 0, 2)], b"{}"), "`family-info` is missing"),
-        settings("\"head\": 4.0", "\"head\": \"x\"", "`family-info.head` is not a number"),
-        settings("\"head\": 4.0", "\"head\": -1", "`family-info.head` is not a number"),
-        settings("\"probes\": true", "\"probes\": 3", "`limits.probes` is not true or false"),
-        settings("[\"atlanta\", \"athens\", \"macon\"]", "[]", "`zones` is not a list of at least one"),
+        settings("\"head\": 4.0", "\"head\": \"x\"", "`family-info.head` is \"x\", not a number"),
+        settings("\"head\": 4.0", "\"head\": -1", "`family-info.head` is -1, not a number"),
+        settings("\"probes\": true", "\"probes\": 3", "`limits.probes` is 3, not true or false"),
+        settings(
+            "[\"atlanta\", \"athens\", \"macon\"]",
+            "[]",
+            "`zones` is [], not a list of one zone or more",
+        ),
         settings("\"worth\": 3.0", "\"worthy\": 3.0", "`worth` is missing in `lanes[1]`"),
     ];
     for (input, wanted) in cases {
