Run the platform's pilot on one thread: a reactor of its own beside async-io's

Ruled out: load alone (both threads slept for 20 s), the pilot's own locks (it has none, and no futex word of std or parking is waited for with the operation and value that was printed). Not shown: that the second thread is the cause. It has no use here, and without it there is nothing to take turns with. Test: a pilot is one thread, seen to fail before (2). The other entries stay on async-io.

--- a/fetch/src/lib.rs
+++ b/fetch/src/lib.rs
@@ -2,6 +2,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use futures_lite::io::{AsyncRead, AsyncWrite};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::SendRequest;
@@ -12,6 +13,49 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+/// Whose sockets and timers a call waits by.
+pub trait Net {
+    type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
+
+    /// Dials, from a local address if one is named.
+    fn connect(
+        to: SocketAddr,
+        from: Option<SocketAddr>,
+    ) -> impl Future<Output = std::io::Result<Self::Stream>>;
+
+    fn sleep(span: Duration) -> impl Future<Output = ()>;
+}
+
+/// The reactor of `async-io`, which all threads share.
+pub struct Shared;
+
+impl Net for Shared {
+    type Stream = Async<TcpStream>;
+
+    async fn connect(to: SocketAddr, from: Option<SocketAddr>) -> std::io::Result<Self::Stream> {
+        connect(to, from).await
+    }
+
+    async fn sleep(span: Duration) {
+        Timer::after(span).await;
+    }
+}
+
+/// The reactor of a program with a single thread.
+pub struct Alone;
+
+impl Net for Alone {
+    type Stream = oatlever_reactor::Async<TcpStream>;
+
+    async fn connect(to: SocketAddr, from: Option<SocketAddr>) -> std::io::Result<Self::Stream> {
+        Self::Stream::connect(to, from).await
+    }
+
+    async fn sleep(span: Duration) {
+        oatlever_reactor::Timer::after(span).await;
+    }
+}
+
 /// A place to read, `http://address:port/path`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -67,8 +111,8 @@
 
 impl Connection {
     /// Dials, from a local address if one is named. Has no limit on time. Errors: no connection.
-    pub async fn dial(host: SocketAddr, from: Option<SocketAddr>) -> Result<Self, Failure> {
-        let stream = connect(host, from).await.map_err(Failure::Connect)?;
+    pub async fn dial<N: Net>(host: SocketAddr, from: Option<SocketAddr>) -> Result<Self, Failure> {
+        let stream = N::connect(host, from).await.map_err(Failure::Connect)?;
         let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await;
         let (sender, carrier) = handshake.map_err(broken)?;
         Ok(Connection { host, sender, carrier: Some(Box::pin(carrier)) })
@@ -120,9 +164,12 @@
 }
 
 /// What `work` comes to, within `patience` seconds.
-pub async fn within<T>(patience: f64, work: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+pub async fn within<N: Net, T>(
+    patience: f64,
+    work: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
     let late = async {
-        Timer::after(Duration::from_secs_f64(patience)).await;
+        N::sleep(Duration::from_secs_f64(patience)).await;
         Err(Failure::TooLate(patience))
     };
     future::or(work, late).await
@@ -159,12 +206,13 @@
 }
 
 /// Reads a place within `patience` seconds and `most_bytes` of body, from a local address if one is named.
-pub async fn get(
+pub async fn get<N: Net>(
     place: &Place,
     from: Option<SocketAddr>,
     patience: f64,
     most_bytes: usize,
 ) -> Result<Answer, Failure> {
-    let asked = async { Connection::dial(place.host, from).await?.get(&place.path, true, most_bytes).await };
-    within(patience, asked).await
+    let asked =
+        async { Connection::dial::<N>(place.host, from).await?.get(&place.path, true, most_bytes).await };
+    within::<N, _>(patience, asked).await
 }
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -3,12 +3,12 @@
 use super::desk::Reaction;
 use super::Pilot;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future;
 use oatlever_platform::frame::{LONGEST, LONGEST_FIRST};
 use oatlever_platform::message::REFUSED;
 use oatlever_platform::{Connection, Lines};
+use oatlever_reactor::{Async, Timer};
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -208,8 +208,9 @@
 pub async fn accept(socket: Async<TcpListener>, pilot: Rc<Pilot>, executor: Rc<LocalExecutor<'static>>) {
     let mut trouble = None;
     loop {
-        match socket.accept().await {
-            Ok((stream, _)) => {
+        let accepted = socket.read_with(|socket| socket.accept()).await;
+        match accepted.and_then(|(stream, _)| Async::new(stream)) {
+            Ok(stream) => {
                 trouble = None;
                 // Orders are small and must not wait for one another's acknowledgements.
                 drop(stream.get_ref().set_nodelay(true));
@@ -294,11 +295,7 @@
             Ok(None) => future::yield_now().await,
             Ok(Some(end)) => return end,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if peer.stream.readable().await.is_err() {
-                    return End::Theirs;
-                }
-            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => peer.stream.readable().await,
             Err(_) => return End::Theirs,
         }
     }
@@ -369,19 +366,7 @@
             Ok(()) => news.await,
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 // Closing must not wait for one who does not read.
-                let writable = async {
-                    match peer.stream.writable().await {
-                        Ok(()) => None,
-                        Err(_) => Some(End::Theirs),
-                    }
-                };
-                let closed = async {
-                    news.await;
-                    None
-                };
-                if let Some(end) = future::or(writable, closed).await {
-                    return end;
-                }
+                future::or(peer.stream.writable(), news).await
             }
             Err(_) => return End::Theirs,
         }
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -1,8 +1,8 @@
 //! Follows discovery: the whole list once, then a watch on what changes.
 
 use super::Pilot;
-use async_io::Timer;
 use futures_lite::future;
+use oatlever_reactor::Timer;
 use oatlever_roster::platform::{Origin, PlatformDocument, Watch};
 use std::rc::Rc;
 use std::time::Duration;
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -15,16 +15,20 @@
 use crate::probes::Probes;
 use crate::serve::listen;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use connections::Connections;
 use desk::{Desk, Process};
 use event_listener::Event;
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use oatlever::round::Address;
+use oatlever_fetch::Alone;
+use oatlever_reactor::{Async, Timer};
 use oatlever_roster::platform::Origin;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::low_level::pipe;
 use std::cell::{Cell, RefCell};
+use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,7 +109,7 @@
 }
 
 async fn check(pilot: Rc<Pilot>, server: Address, process: Process, probes: Rc<Probes>, patience: f64) {
-    let fine = probes.is_fine(process.0, HEALTH.to_string(), patience).await;
+    let fine = probes.is_fine::<Alone>(process.0, HEALTH.to_string(), patience).await;
     pilot.desk.borrow_mut().checked(server, process, fine);
     pilot.tell();
 }
@@ -140,20 +144,37 @@
 
 /// What a pilot has before it has read anything.
 pub struct Begun {
-    signals: Signals,
+    /// Bytes that come as it is told to end, and as its configuration is replaced.
+    ends: UnixStream,
+    reloads: UnixStream,
     clock: Clock,
 }
 
 /// To be called before anything else: a signal that comes earlier ends the process by itself, and one that comes
 /// between this and the loop is taken up there.
 pub fn begin() -> Result<Begun, String> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    Ok(Begun { signals: signals.map_err(|e| format!("signals: {e}"))?, clock: Clock::unix() })
+    let caught = |signals: &[i32]| -> io::Result<UnixStream> {
+        let (hears, told) = UnixStream::pair()?;
+        for signal in signals {
+            pipe::register(*signal, told.try_clone()?)?;
+        }
+        Ok(hears)
+    };
+    let both = caught(&[SIGTERM, SIGINT]).and_then(|ends| Ok((ends, caught(&[SIGHUP])?)));
+    let (ends, reloads) = both.map_err(|e| format!("signals: {e}"))?;
+    Ok(Begun { ends, reloads, clock: Clock::unix() })
+}
+
+/// Waits for a signal; several that came before it was waited for are one.
+async fn signalled(signals: &Async<UnixStream>) -> io::Result<()> {
+    signals.read_with(|mut signals| signals.read(&mut [0; 64])).await.map(drop)
 }
 
 /// Runs until SIGTERM or SIGINT. Errors: what could not be started.
 pub fn run(configuration: Configuration, path: PathBuf, begun: Begun) -> Result<(), String> {
-    let Begun { mut signals, clock } = begun;
+    let Begun { ends, reloads, clock } = begun;
+    let signals = Async::new(ends).and_then(|ends| Ok((ends, Async::new(reloads)?)));
+    let (ends, reloads) = signals.map_err(|e| format!("signals: {e}"))?;
     let Configuration { name, listen: host, discovery, seed, sockets, memory, known, start, names } =
         configuration;
     let socket = listen(host).and_then(Async::new);
@@ -179,7 +200,7 @@
     });
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(%name, %host, %discovery, sockets, "serving the platform");
-    async_io::block_on(executor.run(async {
+    let ran = oatlever_reactor::block_on(executor.run(async {
         let tasks = [
             executor.spawn(rounds(pilot.clone(), executor.clone(), names.clone())),
             executor.spawn(lists::follow(pilot.clone(), names.zones.clone(), follows)),
@@ -194,13 +215,14 @@
                     future::pending::<()>().await;
                 }
                 Timer::after(Duration::from_secs_f64(RELOAD_PAUSE)).await;
-                None
-            };
-            tries = match future::or(async { Some(signals.next().await) }, again).await {
-                None => tries - 1,
-                Some(Some(Ok(Signal::Hup))) => RELOADS,
-                Some(_) => break,
+                Ok(Some(tries - 1))
             };
+            let replaced = async { signalled(&reloads).await.map(|()| Some(RELOADS)) };
+            let told = async { signalled(&ends).await.map(|()| None) };
+            match future::or(told, future::or(replaced, again)).await {
+                Ok(Some(left)) => tries = left,
+                Ok(None) | Err::<_, io::Error>(_) => break,
+            }
             if reload(&pilot, &path, &names) {
                 tries = 0;
             }
@@ -208,7 +230,7 @@
         tracing::info!("asked to end");
         drop(tasks);
     }));
-    Ok(())
+    ran.map_err(|e| format!("waits: {e}"))
 }
 
 async fn tell_counts(pilot: Rc<Pilot>) {
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -233,7 +233,7 @@
 async fn check(pilot: Rc<Pilot>, server: oatlever::round::Address, probes: Rc<Probes>) {
     let Some(checks) = pilot.core.borrow().settings.checks.clone() else { return };
     let host = SocketAddr::from((server.host, server.port));
-    let fine = probes.is_fine(host, checks.path, checks.patience).await;
+    let fine = probes.is_fine::<oatlever_fetch::Shared>(host, checks.path, checks.patience).await;
     let mut core = pilot.core.borrow_mut();
     core.counts.checks += 1;
     core.checked(server, fine);
--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -593,6 +593,18 @@
     pilot.logged("serves again");
 }
 
+/// Guards against a second thread, which a machine of part of a core has no use for and which has to take turns with
+/// the first one as both start.
+#[cfg(target_os = "linux")]
+#[test]
+fn a_pilot_is_one_thread() {
+    let (_discovery, pilot) = pilot_of("thread", 64);
+    pilot.proxy(3, "s-1");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", pilot.child.id())).unwrap();
+    let threads = status.lines().find(|line| line.starts_with("Threads:")).unwrap();
+    assert_eq!(threads, "Threads:\t1");
+}
+
 /// Guards against a pilot that ends as whoever read its log is gone.
 #[test]
 fn a_pilot_outlives_the_reader_of_its_log() {
--- a/reports/src/reader.rs
+++ b/reports/src/reader.rs
@@ -97,7 +97,7 @@
             let Some((target, place)) = schedule.start(now) else { break };
             under_way.push(async move {
                 let asked = Instant::now();
-                let got = fetch::get(&place, None, patience, most_bytes).await;
+                let got = fetch::get::<fetch::Shared>(&place, None, patience, most_bytes).await;
                 let text = match got {
                     Ok(answer) if answer.status == 200 => Text::read(&answer.body),
                     Ok(answer) => Err(format!("status {}", answer.status)),
--- a/roster/src/platform.rs
+++ b/roster/src/platform.rs
@@ -4,7 +4,7 @@
 //! The decisions know servers by short numbers in the form of an address, which [`Register`] gives out.
 
 use oatlever::round::{Address, Entry, List, ListNews, Readiness};
-use oatlever_fetch as fetch;
+use oatlever_fetch::{self as fetch, Alone};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -312,11 +312,12 @@
                 }
             }
             // Guards against a silent machine that takes the whole wait before a word is said.
-            let mut fresh = fetch::within(patience, fetch::Connection::dial(host, None)).await?;
+            let mut fresh =
+                fetch::within::<Alone, _>(patience, fetch::Connection::dial::<Alone>(host, None)).await?;
             let answer = fresh.get(&path, false, LONGEST_DOCUMENT).await?;
             Ok((fresh, answer))
         };
-        let got = fetch::within(wait + patience, asked).await;
+        let got = fetch::within::<Alone, _>(wait + patience, asked).await;
         let (kept, answer) = got.map_err(|e| format!("{host}: {e}"))?;
         if answer.status != 200 {
             return Err(format!("{host}: status {}", answer.status));
--- a/roster/src/reader.rs
+++ b/roster/src/reader.rs
@@ -28,7 +28,9 @@
         let unix = |time: SystemTime| time.duration_since(UNIX_EPOCH).ok().map(|t| t.as_secs_f64());
         match self {
             Source::Http(place) => {
-                let got = fetch::get(place, None, patience, most).await.map_err(|e| e.to_string())?;
+                let got = fetch::get::<fetch::Shared>(place, None, patience, most)
+                    .await
+                    .map_err(|e| e.to_string())?;
                 if got.status != 200 {
                     return Err(format!("status {}", got.status));
                 }
