--- a/pilot/src/platform/configuration.rs
+++ b/pilot/src/platform/configuration.rs
@@ -83,8 +83,12 @@
         }
         let seed = root.get("seed")?;
         let number = u64::from_str_radix(seed.text()?, 16);
+        let limits = root.maybe("limits");
+        if let Some(limits) = limits.iter().find(|limits| !limits.value().is_object()) {
+            return limits.wrong("an object");
+        }
         let limit = |key: &str, least: f64, usual: f64| {
-            let told = root.maybe("limits").and_then(|limits| limits.maybe(key));
+            let told = limits.as_ref().and_then(|limits| limits.maybe(key));
             told.map_or(Ok(usual), |told| told.number(least, MOST))
         };
         let known = match root.maybe("known") {
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -323,13 +323,58 @@
     assert!(peer.holds(LONG, |table| table.contains_key("s-3")), "{:?}", peer.table);
 }
 
+/// What is missing, odd or contradictory is told with its field and value, and nothing starts.
 #[test]
 fn a_wrong_configuration_is_told_with_its_place() {
-    let mut wrong = configuration("127.0.0.1:9".parse().unwrap(), 64);
-    wrong["settings"]["family-info"]["head"] = json!("four");
-    let text = refused("wrong", &wrong);
-    assert!(
-        text.contains("`settings.family-info.head` is \"four\", not a number from 0 to 1000000000"),
-        "{text}"
-    );
+    let right = configuration("127.0.0.1:9".parse().unwrap(), 64);
+    let cases = [
+        (
+            "/settings/family-info/head",
+            json!("four"),
+            "`settings.family-info.head` is \"four\", not a number from 0",
+        ),
+        (
+            "/settings/family-info/partitions-n",
+            json!(12),
+            "`settings.family-info.partitions-n` is 12, not 0, as",
+        ),
+        (
+            "/settings/lanes/1/name",
+            json!("lookup"),
+            "`settings.lanes[1].name` is \"lookup\", not another name",
+        ),
+        ("/limits/sockets", json!(40), "`limits.sockets` is 40, not a number from 41"),
+        ("/limits/memory_mb", json!(-1), "`limits.memory_mb` is -1, not a number from 1"),
+        ("/limits", json!(3), "`limits` is 3, not an object"),
+        ("/seed", json!(7), "`seed` is 7, not a text"),
+        ("/seed", json!("xyz"), "`seed` is \"xyz\", not a number in hexadecimal"),
+        ("/seed", json!(null), "`seed` is missing"),
+        ("/settings", json!(null), "`settings` is missing"),
+        ("/name", json!(3), "`name` is 3, not a text"),
+        ("/listen", json!("here"), "`listen` is \"here\", not an address with a port"),
+        ("/discovery", json!(8500), "`discovery` is 8500, not a text"),
+        ("/known", json!({"version": 1}), "`known` is {\"version\":1}, not usable: not a list"),
+    ];
+    for (n, (place, value, wanted)) in cases.into_iter().enumerate() {
+        let mut wrong = right.clone();
+        *wrong.pointer_mut(place).expect(place) = value;
+        let text = refused(&format!("wrong-{n}"), &wrong);
+        assert!(text.contains(wanted), "said {text}, wanted {wanted}");
+    }
+}
+
+/// Guards against a start that is refused, or a list that is lost, for what the settings of later days hold besides.
+#[test]
+fn fields_that_are_not_known_are_passed_over() {
+    let discovery = Discovery::start().unwrap();
+    discovery.say("s-2", "up");
+    let mut later = configuration(discovery.host, 64);
+    for place in
+        ["", "/settings", "/settings/family-info", "/settings/lanes/0", "/limits", "/known/servers/0"]
+    {
+        later.pointer_mut(place).unwrap()["of-later-days"] = json!({"deep": [1, null]});
+    }
+    // An entry of the known list that can't be used refuses no start either.
+    later["known"]["servers"][1]["state"] = json!(7);
+    Pilot::start("later", &later).proxy(3, "s-2");
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -68,7 +68,12 @@
 
 impl Play {
     pub fn new(site: Site, rules: Rules, channel: Channel) -> Self {
-        let balancer = Balancer::new(site, classes(), channel.clone(), rules, 7);
+        Play::of(site, classes(), rules, channel)
+    }
+
+    /// The same for any customer's settings.
+    pub fn of(site: Site, classes: Vec<QueryClass>, rules: Rules, channel: Channel) -> Self {
+        let balancer = Balancer::new(site, classes, channel.clone(), rules, 7);
         Play { balancer, channel, book: Book::default() }
     }
 
