--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -98,7 +98,7 @@
         let next = pilot.desk.borrow().next_at();
         let wait = async {
             match next {
-                Some(at) => drop(Timer::after(Duration::from_secs_f64((at - now).max(0.0))).await),
+                Some(at) => Timer::after(Duration::from_secs_f64((at - now).max(0.0))).await,
                 None => future::pending().await,
             }
         };
--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -305,7 +305,9 @@
         let host = SocketAddr::from((server, SERVICE_PORT));
         let place = Place { host, path: format!("/{}/{query}", kind.name) };
         let left = (begun + kind.abandon - world.now()).max(0.01);
-        match get(&place, Some(SocketAddr::from((self.host, 0))), left, 1 << 16).await {
+        match get::<oatlever_fetch::Shared>(&place, Some(SocketAddr::from((self.host, 0))), left, 1 << 16)
+            .await
+        {
             Ok(answer) if answer.status == 200 => Some(true),
             Ok(answer) if answer.status == 503 => None,
             Err(Failure::Connect(_)) => None,
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -185,7 +185,8 @@
     }
     if script.guard.is_some() {
         let place = Place { host: world.realm.status(), path: "/metrics".to_string() };
-        let page = get(&place, None, 2.0, 1 << 20).await.map_err(|e| e.to_string())?;
+        let page =
+            get::<oatlever_fetch::Shared>(&place, None, 2.0, 1 << 20).await.map_err(|e| e.to_string())?;
         let text = String::from_utf8_lossy(&page.body).into_owned();
         let lines = || text.lines().filter(|line| line.starts_with("oatlever_guard"));
         if progress {
@@ -266,7 +267,7 @@
     let place = Place { host: world.realm.status(), path: "/status".to_string() };
     loop {
         Timer::after(Duration::from_millis(250)).await;
-        let Ok(answer) = get(&place, None, 0.5, 64 << 20).await else { continue };
+        let Ok(answer) = get::<oatlever_fetch::Shared>(&place, None, 0.5, 64 << 20).await else { continue };
         let status: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         if let Some(lines) = status["channel"]["waiting"].as_f64() {
             world.record.note(Event::Waiting(lines));
