--- a/askers/src/presence.rs
+++ b/askers/src/presence.rs
@@ -1,4 +1,4 @@
-//! Whether each asker is there: a sign of life brings it up, silence takes it away.
+//! Whether each asker is there: a heartbeat brings it up, silence takes it away.
 //!
 //! Those who pull have no stream. An asker counts as up from its first question, or the first reading of
 //! its counters, until neither has come for `away_after`. Groups of clients are up from the start for
@@ -36,7 +36,7 @@
         self.askers.iter().enumerate().filter(|(_, a)| a.up).map(|(place, _)| place as u16)
     }
 
-    /// A sign of life. True where it brings the asker up.
+    /// A heartbeat. True where it brings the asker up.
     pub fn sign(&mut self, id: u16, now: f64) -> bool {
         let Some(asker) = self.askers.get_mut(usize::from(id)) else { return false };
         asker.sign = now;
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -156,7 +156,7 @@
         self.round.streams.push(Stream { proxy: asker, up, zone: self.zone_of(asker), rate });
     }
 
-    /// A sign of life. True where a round is due at once, as the asker holds no table yet.
+    /// A heartbeat. True where a round is due at once, as the asker holds no table yet.
     fn sign(&mut self, asker: u16, now: f64) -> bool {
         let came = self.presence.sign(asker, now);
         if came {
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -134,7 +134,7 @@
         let message = message::read(line, &self.names);
         let role = self.sessions.role(connection);
         match (message, role) {
-            (Ok(Message::SignOfLife), _) => Reaction::Answer(ALIVE),
+            (Ok(Message::Heartbeat), _) => Reaction::Answer(ALIVE),
             (Ok(Message::Join(join)), None) => self.join(connection, &join, now),
             (Ok(_), None) => self.refuse("a report before joining".to_string()),
             (Err(what), None) => self.refuse(what.to_string()),
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -55,7 +55,7 @@
     desk: RefCell<Desk>,
     connections: Connections,
     discovery: Cell<SocketAddr>,
-    /// It has answered a sign of life.
+    /// It has answered a heartbeat.
     is_ready: Cell<bool>,
     /// Something came in that a round should take up.
     news: Event,
