--- a/benches/src/fleet.rs
+++ b/benches/src/fleet.rs
@@ -109,7 +109,7 @@
         self.rounds += 1;
         let begun = Instant::now();
         round.now = self.now;
-        round.receipts = self.tables.receipts(self.now);
+        round.acknowledgements = self.tables.acknowledgements(self.now);
         self.tables.open(self.now, self.rounds, News::of(&round));
         self.balancer.round(&round, &mut self.tables);
         self.tables.close();
@@ -127,7 +127,7 @@
         let mut took = vec![self.round(news)];
         for _ in 0..3 {
             self.now += 0.25;
-            took.push(self.round(Round { wakes: vec![0], ..Round::default() }));
+            took.push(self.round(Round { timers: vec![0], ..Round::default() }));
         }
         self.now += 0.25;
         took
--- a/benches/src/structures.rs
+++ b/benches/src/structures.rs
@@ -92,7 +92,7 @@
             let (at, n) = wheel.pop();
             wheel.insert(at + 1000 * size, n);
         });
-        row("next wake and its return: set, hashed wheel", size as usize, ours, plain);
+        row("next timer and its return: set, hashed wheel", size as usize, ours, plain);
     }
 }
 
--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -5,7 +5,7 @@
 use crate::guarding::Guarding;
 use crate::handing::Handing;
 use crate::planning::Planning;
-use crate::wakes::Wakes;
+use crate::timers::Timers;
 use oatlever::balance::Balancer;
 use oatlever::round::{Address, HealthAnswer, List, ListNews, Round, Stream};
 use oatlever_askers::{Prefixes, Presence};
@@ -54,7 +54,7 @@
     owners: Vec<Owner>,
     pub prefixes: Rc<Prefixes>,
     round: Round,
-    wakes: Wakes,
+    timers: Timers,
     flush_at: f64,
     /// Servers to check, and those being checked.
     pub to_check: Vec<Address>,
@@ -118,7 +118,7 @@
             owners,
             prefixes: Rc::new(prefixes(&settings)),
             round: Round::default(),
-            wakes: Wakes::default(),
+            timers: Timers::default(),
             flush_at: now + settings.reports.period,
             to_check: Vec::new(),
             checking: BTreeSet::new(),
@@ -315,9 +315,9 @@
                 self.flush_at += self.settings.reports.period;
             }
         }
-        self.round.wakes = self.wakes.due(now);
+        self.round.timers = self.timers.due(now);
         let first = self.counts.rounds == 0;
-        let due = !self.round.wakes.is_empty() || !self.round.tries.is_empty();
+        let due = !self.round.timers.is_empty() || !self.round.tries.is_empty();
         if !first && !due && !self.has_news() {
             return false;
         }
@@ -329,7 +329,7 @@
         let begun = Instant::now();
         let mut round = std::mem::take(&mut self.round);
         round.now = now;
-        round.receipts = self.tables.receipts(now);
+        round.acknowledgements = self.tables.acknowledgements(now);
         self.counts.rounds += 1;
         if self.tables.any_frozen() {
             let warm_within = self.settings.rules.warm_within;
@@ -352,8 +352,8 @@
             }
         };
         self.handing.spare(&self.tables, &self.book, &self.settings, now);
-        for (after, number) in chores.wakes {
-            self.wakes.ask(now + after, number);
+        for (after, number) in chores.timers {
+            self.timers.set(now + after, number);
         }
         for server in chores.checks {
             if self.checking.insert(server) {
@@ -391,7 +391,7 @@
 
     /// When [`Core::step`] has something to do next, if nothing comes in before.
     pub fn next_at(&self) -> f64 {
-        let others = [self.wakes.next_at(), self.presence.next_at()];
+        let others = [self.timers.next_at(), self.presence.next_at()];
         others.into_iter().flatten().fold(self.flush_at, f64::min)
     }
 }
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -15,7 +15,7 @@
 mod probes;
 mod serve;
 mod status;
-mod wakes;
+mod timers;
 
 use clap::{Parser, Subcommand};
 use oatlever_settings::Settings;
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -26,8 +26,8 @@
 const CHUNK: usize = 1 << 16;
 /// s; after an accept that failed, as where descriptors have run out.
 const PAUSE: f64 = 0.01;
-/// Connections beyond the most, where all of those have joined: the new stream of a proxy whose old one has not
-/// been seen to end. So few fit beside what the pilot opens itself.
+/// Connections beyond the most, where all of those have joined: the new stream of a proxy whose old one has
+/// not been seen to end. So few fit beside what the pilot opens itself.
 pub const NEWCOMERS: usize = 8;
 
 /// One connection, from its accept to its end: what was read of it, and what waits to be written.
@@ -169,9 +169,9 @@
         self.open.borrow().get(&oldest).cloned()
     }
 
-    /// Bytes that a message of one who has joined may have, of which `kept` came before. Guards against a fleet
-    /// that has joined and sends long messages at once: together they would fill the memory, as each may be
-    /// longer by far than any that is sent in earnest.
+    /// Bytes that a message of one who has joined may have, of which `kept` came before. Guards against a
+    /// fleet that has joined and sends long messages at once: together they would fill the memory, as each
+    /// may be longer by far than any that is sent in earnest.
     fn longest(&self, kept: usize) -> usize {
         let left = self.most_unfinished.saturating_sub(self.unfinished.get() - kept);
         LONGEST.min(left).max(LONGEST_FIRST)
@@ -190,8 +190,8 @@
     open() < all.most + NEWCOMERS
 }
 
-/// False where all have joined. Guards against sending a proxy away whose joining has come and has not been read,
-/// as while a whole fleet dials: what each has sent is read before it is judged.
+/// False where all have joined. Guards against sending a proxy away whose joining has come and has not been
+/// read, as while a whole fleet dials: what each has sent is read before it is judged.
 fn send_oldest_away(pilot: &Pilot) -> bool {
     while let Some(oldest) = pilot.connections.oldest_unjoined() {
         let ended = read_now(&oldest, pilot).is_some();
@@ -221,8 +221,8 @@
                     pilot.desk.borrow_mut().counts.full += 1;
                     drop(stream.get_ref().write(REFUSED));
                 }
-                // Guards against a fleet that dials at once: those accepted are read, and those sent away give
-                // their descriptors back, before the next one is taken.
+                // Guards against a fleet that dials at once: those accepted are read, and those sent away
+                // give their descriptors back, before the next one is taken.
                 future::yield_now().await;
             }
             // Whoever dialled is gone again, and that is nobody else's fault.
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -1,7 +1,7 @@
 //! A pilot on the platform without its sockets: what came in is gathered into a round, the decisions are
 //! called, and what they order becomes messages. Times are seconds on the pilot's own clock.
 
-use crate::wakes::Wakes;
+use crate::timers::Timers;
 use oatlever::balance::Balancer;
 use oatlever::round::{Address, Beliefs, HealthAnswer, List, ListNews, Round, Stream, Tries};
 use oatlever_instance::Start;
@@ -71,7 +71,7 @@
     publisher: Publisher,
     pub register: Register,
     round: Round,
-    wakes: Wakes,
+    timers: Timers,
     /// Servers whose health is being checked, and the process that is asked.
     checking: BTreeMap<Address, Process>,
     /// s; how long a proxy may owe a word.
@@ -96,15 +96,15 @@
             sessions: Sessions::default(),
             register: Register::default(),
             round: Round::default(),
-            wakes: Wakes::default(),
+            timers: Timers::default(),
             checking: BTreeMap::new(),
             counts: Counts::default(),
             beliefs: Beliefs::default(),
         }
     }
 
-    /// Why nobody is served, where that is so although proxies look for a pilot; `turned_away` as counted when
-    /// this was asked last.
+    /// Why nobody is served, where that is so although proxies look for a pilot; `turned_away` as counted
+    /// when this was asked last.
     pub fn idles(&self, turned_away: u64) -> Option<&'static str> {
         let joined = self.sessions.proxies().next().is_some();
         if self.publisher.serves() || !(joined || self.turned_away() > turned_away) {
@@ -198,11 +198,13 @@
                 self.counts.queries += queries.came;
                 self.round.queries.push(queries)
             }
-            (Message::Receipt(receipt), Role::Proxy(proxy)) if receipt.proxy == proxy => {
-                if !self.sessions.answer(connection, receipt.number) {
+            (Message::Acknowledgement(acknowledgement), Role::Proxy(proxy))
+                if acknowledgement.proxy == proxy =>
+            {
+                if !self.sessions.answer(connection, acknowledgement.number) {
                     return self.spoilt(line, "no mark that was written on this stream");
                 }
-                self.round.receipts.push(receipt)
+                self.round.acknowledgements.push(acknowledgement)
             }
             _ => return self.spoilt(line, "not for whoever joined here to say"),
         }
@@ -241,8 +243,8 @@
 
     /// A process that was checked has answered, or has not.
     ///
-    /// Guards against an answer that counts for another: while it was under way the server may have been removed,
-    /// or replaced under the same name, which is then checked by itself.
+    /// Guards against an answer that counts for another: while it was under way the server may have been
+    /// removed, or replaced under the same name, which is then checked by itself.
     pub fn checked(&mut self, server: Address, process: Process, fine: bool) {
         if self.checking.get(&server) == Some(&process) {
             self.checking.remove(&server);
@@ -255,12 +257,16 @@
     fn has_news(&self) -> bool {
         let r = &self.round;
         let quiet = r.lists.is_empty() && r.streams.is_empty() && r.queries.is_empty();
-        !(quiet && r.tries.is_empty() && r.health.is_empty() && r.receipts.is_empty() && r.wakes.is_empty())
+        !(quiet
+            && r.tries.is_empty()
+            && r.health.is_empty()
+            && r.acknowledgements.is_empty()
+            && r.timers.is_empty())
     }
 
     /// Takes up what came in and what is due by now, and calls the decisions where there is any.
     pub fn step(&mut self, now: f64) -> Done {
-        self.round.wakes = self.wakes.due(now);
+        self.round.timers = self.timers.due(now);
         if self.counts.rounds > 0 && !self.has_news() {
             return Done::default();
         }
@@ -271,8 +277,8 @@
         self.balancer.round(&round, &mut self.publisher);
         let (marked, name) = (self.publisher.marked(), |server| self.register.name(server));
         let (messages, chores) = self.publisher.finish(self.sessions.proxies(), &name);
-        for (after, number) in chores.wakes {
-            self.wakes.ask(now + after, number);
+        for (after, number) in chores.timers {
+            self.timers.set(now + after, number);
         }
         for note in chores.notes {
             tracing::info!(note);
@@ -300,7 +306,7 @@
 
     /// When [`Desk::step`] has something to do next, if nothing comes in before.
     pub fn next_at(&self) -> Option<f64> {
-        self.wakes.next_at()
+        self.timers.next_at()
     }
 }
 
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -66,8 +66,9 @@
                 if !std::mem::take(&mut self.trouble).is_empty() {
                     tracing::info!(version = document.version, "list of servers is told again");
                 }
-                // Guards against a change that is lost because its entry could not be used and the version has
-                // moved on: all is read anew. What is wrong with it then too is not the way's fault, and is left.
+                // Guards against a change that is lost because its entry could not be used and the version
+                // has moved on: all is read anew. What is wrong with it then too is not the way's fault, and
+                // is left.
                 let known = document.whole && document.mistakes == self.mistakes;
                 self.whole = !document.mistakes.is_empty() && !known;
                 self.mistakes = document.mistakes;
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -116,7 +116,8 @@
 
 /// Takes up a replaced configuration; of it only discovery's address can change under a running pilot.
 ///
-/// Guards against the file of another deployment, whose discovery lists servers that no proxy here may be sent to.
+/// Guards against the file of another deployment, whose discovery lists servers that no proxy here may be
+/// sent to.
 fn reload(pilot: &Pilot, path: &Path, names: &oatlever_instance::Names) -> bool {
     let ours =
         |fresh: &Configuration| (&fresh.names.zones, &fresh.names.classes) == (&names.zones, &names.classes);
@@ -150,8 +151,8 @@
     clock: Clock,
 }
 
-/// To be called before anything else: a signal that comes earlier ends the process by itself, and one that comes
-/// between this and the loop is taken up there.
+/// To be called before anything else: a signal that comes earlier ends the process by itself, and one that
+/// comes between this and the loop is taken up there.
 pub fn begin() -> Result<Begun, String> {
     let caught = |signals: &[i32]| -> io::Result<UnixStream> {
         let (hears, told) = UnixStream::pair()?;
@@ -209,7 +210,8 @@
         ];
         let mut tries = 0;
         loop {
-            // A configuration is tried again beside the wait for signals: the one to end must not wait for it.
+            // A configuration is tried again beside the wait for signals: the one to end must not wait for
+            // it.
             let again = async {
                 if tries == 0 {
                     future::pending::<()>().await;
--- a/pilot/src/wakes.rs
+++ b/pilot/src/timers.rs
@@ -1,17 +1,17 @@
-//! Wakes that were asked for. The decisions ask for a few at a time, so an ordered set does: see
+//! Timers that were set. The decisions set a few at a time, so an ordered set does: see
 //! `docs/measurements.md` for it beside a wheel.
 
 use std::collections::BTreeSet;
 
 #[derive(Debug, Default)]
-pub struct Wakes(BTreeSet<(u64, u64)>);
+pub struct Timers(BTreeSet<(u64, u64)>);
 
 fn nanos(time: f64) -> u64 {
     (time * 1e9) as u64
 }
 
-impl Wakes {
-    pub fn ask(&mut self, at: f64, number: u64) {
+impl Timers {
+    pub fn set(&mut self, at: f64, number: u64) {
         self.0.insert((nanos(at), number));
     }
 
--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -88,8 +88,8 @@
     assert_eq!(peer.hear().unwrap().unwrap()["msg"], "hb_ok");
 }
 
-/// Guards against sending somebody away whose word has come in time, as where the pilot itself was held up: the
-/// time to join and the word meet it in one turn.
+/// Guards against sending somebody away whose word has come in time, as where the pilot itself was held up:
+/// the time to join and the word meet it in one turn.
 #[test]
 fn what_came_as_the_time_to_join_ran_out_counts() {
     let (_discovery, pilot) = pilot_of("late", 64);
@@ -122,8 +122,8 @@
 
 // Streams.
 
-/// Guards against a stream that takes the place of a later one: both may lie unread, and the older one may be read
-/// last.
+/// Guards against a stream that takes the place of a later one: both may lie unread, and the older one may be
+/// read last.
 #[test]
 fn an_older_stream_does_not_replace_a_newer_one() {
     let (discovery, pilot) = pilot_of("older", 64);
@@ -175,8 +175,8 @@
     holds(&mut other, "s-2");
 }
 
-/// It breaks with half a message unread, and with half a message unsent; the next stream is written all again,
-/// although its proxy says that it holds a table.
+/// It breaks with half a message unread, and with half a message unsent; the next stream is written all
+/// again, although its proxy says that it holds a table.
 #[test]
 fn a_stream_that_breaks_in_the_middle_of_messages_is_served_anew() {
     let (_discovery, pilot) = pilot_of("middle", 64);
@@ -195,8 +195,8 @@
     }
 }
 
-/// Guards against marks that count for another stream, or for another process: only what was written on this one
-/// is answered on it. What is left aside ends nothing.
+/// Guards against marks that count for another stream, or for another process: only what was written on this
+/// one is answered on it. What is left aside ends nothing.
 #[test]
 fn marks_of_another_stream_or_process_are_left_aside() {
     let (discovery, mut pilot) = pilot_of("marks", 64);
@@ -210,7 +210,8 @@
     beats(&mut again);
     pilot.counted("spoilt: 2,");
 
-    // Killed right after it has accepted, and started at the same address while proxies hold tables of the former.
+    // Killed right after it has accepted, and started at the same address while proxies hold tables of the
+    // former.
     let _unread = pilot.dial();
     pilot.signal("-KILL");
     assert_eq!(pilot.ended(), None);
@@ -229,8 +230,8 @@
 
 // Room.
 
-/// Guards against a fleet that dials at once with strangers behind it: the proxies are the oldest, and what they say
-/// has not been read when room is made.
+/// Guards against a fleet that dials at once with strangers behind it: the proxies are the oldest, and what
+/// they say has not been read when room is made.
 #[test]
 fn no_proxy_whose_joining_lies_unread_gives_way_to_strangers() {
     let (_discovery, pilot) = pilot_of("unread-joining", 64);
@@ -251,8 +252,8 @@
     }
 }
 
-/// Hundreds of half joinings in pieces come beside a fleet that is cut off and dials again and again: each proxy is
-/// served each time.
+/// Hundreds of half joinings in pieces come beside a fleet that is cut off and dials again and again: each
+/// proxy is served each time.
 #[test]
 fn half_joinings_in_pieces_keep_no_fleet_out() {
     let (_discovery, pilot) = pilot_of("pieces", 64);
@@ -319,8 +320,8 @@
 
 // Lists.
 
-/// Guards against one odd entry that keeps all removed servers listed, and against one that drops its server: what
-/// is gone from a whole list is gone, what is odd in it stays as it was.
+/// Guards against one odd entry that keeps all removed servers listed, and against one that drops its server:
+/// what is gone from a whole list is gone, what is odd in it stays as it was.
 #[test]
 fn a_whole_list_with_an_odd_entry_still_removes() {
     let discovery = discovery(&[("s-1", "up"), ("s-2", "up")]);
@@ -349,8 +350,8 @@
     assert!(peer.holds(LONG, |table| !table.contains_key("s-2")), "{:?}", peer.table);
 }
 
-/// A watch that falls silent in its head or body is given up in time and asked anew, and a whole answer to it is
-/// taken as such.
+/// A watch that falls silent in its head or body is given up in time and asked anew, and a whole answer to it
+/// is taken as such.
 #[test]
 fn a_watch_that_falls_silent_in_the_middle_is_asked_anew() {
     let discovery = discovery(&[("s-1", "up"), ("s-2", "up")]);
@@ -386,7 +387,8 @@
     holds(&mut peer, "s-2");
 }
 
-/// The list that the pilot starts with is newer than what discovery tells at first: nothing that drains in it opens.
+/// The list that the pilot starts with is newer than what discovery tells at first: nothing that drains in it
+/// opens.
 #[test]
 fn a_known_list_that_is_newer_is_not_undone() {
     let discovery = discovery(&[("s-1", "up"), ("s-2", "up")]);
@@ -407,7 +409,8 @@
     assert!(caught_up && !opened, "{:?}", peer.table);
 }
 
-/// Answers of a discovery that is left, as they may be under way while it is moved: a list, and the rest of one.
+/// Answers of a discovery that is left, as they may be under way while it is moved: a list, and the rest of
+/// one.
 #[test]
 fn an_answer_of_the_old_discovery_after_the_move_is_left() {
     let old = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -440,8 +443,8 @@
     path
 }
 
-/// Guards against a signal that ends the process by itself as it comes before anything was read: the configuration
-/// is a pipe, so the pilot can't have got further.
+/// Guards against a signal that ends the process by itself as it comes before anything was read: the
+/// configuration is a pipe, so the pilot can't have got further.
 #[test]
 fn signals_during_the_start_are_taken_up() {
     let discovery = discovery(&[("s-1", "up")]);
@@ -466,8 +469,8 @@
     }
 }
 
-/// SIGTERM while all proxies join, before any list, with orders under way, with a configuration to take up: the end
-/// comes at once, with status 0.
+/// SIGTERM while all proxies join, before any list, with orders under way, with a configuration to take up:
+/// the end comes at once, with status 0.
 #[test]
 fn the_word_to_end_is_heard_whatever_else_comes() {
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -542,8 +545,8 @@
     (stream, line)
 }
 
-/// Guards against an answer that counts for another process: a server is replaced under its name while the check of
-/// the former is under way, and is checked by itself, whatever becomes of that.
+/// Guards against an answer that counts for another process: a server is replaced under its name while the
+/// check of the former is under way, and is checked by itself, whatever becomes of that.
 #[test]
 fn a_server_replaced_under_its_name_is_checked_by_itself() {
     let [first, second] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
@@ -593,8 +596,8 @@
     pilot.logged("serves again");
 }
 
-/// Guards against a second thread, which a machine of part of a core has no use for and which has to take turns with
-/// the first one as both start.
+/// Guards against a second thread, which a machine of part of a core has no use for and which has to take
+/// turns with the first one as both start.
 #[cfg(target_os = "linux")]
 #[test]
 fn a_pilot_is_one_thread() {
--- a/pilot/tests/platform.rs
+++ b/pilot/tests/platform.rs
@@ -38,8 +38,8 @@
     pilot.proxy(3, "s-old");
 }
 
-/// Whatever is wrong with an answer, the list that is held stays in use and is asked for again: the proxy keeps
-/// its lines all the while, and learns what changes after.
+/// Whatever is wrong with an answer, the list that is held stays in use and is asked for again: the proxy
+/// keeps its lines all the while, and learns what changes after.
 #[test]
 fn answers_of_no_use_leave_the_list_as_it_is() {
     let discovery = Discovery::start().unwrap();
@@ -74,8 +74,8 @@
     assert!(calls >= 6 && connections == 1, "{calls} calls on {connections} connections");
 }
 
-/// Guards against a proxy counted for good whose machine vanished without closing its stream: it owes answers to
-/// marks, and others speak. Those that answer stay.
+/// Guards against a proxy counted for good whose machine vanished without closing its stream: it owes answers
+/// to marks, and others speak. Those that answer stay.
 #[test]
 fn a_stream_that_fell_silent_is_ended_and_others_stay() {
     let discovery = Discovery::start().unwrap();
@@ -95,9 +95,9 @@
     ended.join().unwrap();
 }
 
-/// Guards against what grows with every server that was ever listed and every stream that ever came: a pilot lives
-/// for months. Ids are replaced and streams come and go, some without a word more; when as many more have come as
-/// are ever remembered, memory and descriptors are where they were.
+/// Guards against what grows with every server that was ever listed and every stream that ever came: a pilot
+/// lives for months. Ids are replaced and streams come and go, some without a word more; when as many more
+/// have come as are ever remembered, memory and descriptors are where they were.
 #[cfg(target_os = "linux")]
 #[test]
 fn memory_and_descriptors_are_level_while_servers_and_streams_are_replaced() {
@@ -154,8 +154,8 @@
     pilot.proxy(3, "s-1");
 }
 
-/// Guards against bytes for collectors, which have no use for any: not when one is sent away for what it says, nor
-/// when it gives way to another.
+/// Guards against bytes for collectors, which have no use for any: not when one is sent away for what it
+/// says, nor when it gives way to another.
 #[test]
 fn nothing_is_written_to_a_collector() {
     let discovery = Discovery::start().unwrap();
@@ -226,8 +226,8 @@
     pilot.proxy(3, "s-1");
 }
 
-/// Guards against a fleet that has joined and begins long messages which it does not end: they may not fill the
-/// memory, and whoever says what it has to is heard.
+/// Guards against a fleet that has joined and begins long messages which it does not end: they may not fill
+/// the memory, and whoever says what it has to is heard.
 #[test]
 fn messages_without_end_share_a_part_of_the_memory() {
     let discovery = Discovery::start().unwrap();
@@ -363,7 +363,8 @@
     }
 }
 
-/// Guards against a start that is refused, or a list that is lost, for what the settings of later days hold besides.
+/// Guards against a start that is refused, or a list that is lost, for what the settings of later days hold
+/// besides.
 #[test]
 fn fields_that_are_not_known_are_passed_over() {
     let discovery = Discovery::start().unwrap();
--- a/reactor/src/lib.rs
+++ b/reactor/src/lib.rs
@@ -1,8 +1,9 @@
 //! Sockets, timers and one future on a single thread, without any other thread beside it.
 //!
-//! Guards against a second thread that a pilot with part of a core has no use for: the reactor of `async-io` keeps
-//! one that wakes by itself a hundred times a second while the first one works, and takes turns with it at the
-//! start. Only what lives on one thread may wait here: whoever is woken from another thread is not heard.
+//! Guards against a second thread that a pilot with part of a core has no use for: the reactor of `async-io`
+//! keeps one that wakes by itself a hundred times a second while the first one works, and takes turns with it
+//! at the start. Only what lives on one thread may wait here: whoever is woken from another thread is not
+//! heard.
 
 mod timer;
 
--- a/reactor/tests/waits.rs
+++ b/reactor/tests/waits.rs
@@ -54,8 +54,8 @@
     assert_eq!(order.unwrap(), [2, 4]);
 }
 
-/// Guards against a word that comes between a try to read and the wait for it, and against one that is told only
-/// once although it is only half read.
+/// Guards against a word that comes between a try to read and the wait for it, and against one that is told
+/// only once although it is only half read.
 #[test]
 fn nothing_that_comes_between_a_try_and_the_wait_is_lost() {
     let (mut far, near) = pair();
--- a/roster/src/platform.rs
+++ b/roster/src/platform.rs
@@ -154,15 +154,15 @@
 }
 
 impl Register {
-    /// Takes in a document and tells what it means to the decisions. Errors: it is older than what is held, or
-    /// nothing in it can be used; what is held stays.
+    /// Takes in a document and tells what it means to the decisions. Errors: it is older than what is held,
+    /// or nothing in it can be used; what is held stays.
     ///
     /// Guards against a source that lags behind, as one that a pilot is moved to: servers that drain or
     /// are removed would be taken for open ones.
     ///
-    /// In a whole list, a server whose entry can't be used stays as it was told last, and one that is not there is
-    /// gone. Guards against one odd entry that keeps all removed servers listed, or that drops the server it
-    /// speaks of.
+    /// In a whole list, a server whose entry can't be used stays as it was told last, and one that is not
+    /// there is gone. Guards against one odd entry that keeps all removed servers listed, or that drops the
+    /// server it speaks of.
     pub fn take(&mut self, document: &PlatformDocument, origin: Origin) -> Result<List, String> {
         if let Some(held) = self.version.filter(|_| self.is_older(document) && origin != Origin::Anew) {
             return Err(format!("version {} is older than {held}, which is held", document.version));
@@ -209,8 +209,8 @@
         self.version.is_some_and(|held| document.version < held)
     }
 
-    /// What a list of another count of versions says of a server, which may be older than what is held: one that
-    /// drained or went opens again only where it has restarted since.
+    /// What a list of another count of versions says of a server, which may be older than what is held: one
+    /// that drained or went opens again only where it has restarted since.
     fn readiness_anew(&self, server: &PlatformServer) -> Readiness {
         let number = self.number(&server.name);
         let held = number.and_then(|number| Some((number, &self.known.get(&number)?.entry)));
--- a/roster/tests/platform.rs
+++ b/roster/tests/platform.rs
@@ -31,8 +31,8 @@
     assert_eq!(register.name(first.entries[0].server).as_deref(), Some("s-1"));
 }
 
-/// Guards against a list with one odd entry that drops the server it speaks of, and against one that keeps all that
-/// were removed.
+/// Guards against a list with one odd entry that drops the server it speaks of, and against one that keeps
+/// all that were removed.
 #[test]
 fn a_list_read_in_part_drops_what_is_gone_and_nobody_else() {
     let mut register = Register::default();
@@ -53,8 +53,8 @@
     assert_eq!((register.version, register.sizes()), (Some(42), (2, 1)));
 }
 
-/// Guards against an older list taken for a new count of versions: what drained or went opens again only where it has
-/// started since.
+/// Guards against an older list taken for a new count of versions: what drained or went opens again only
+/// where it has started since.
 #[test]
 fn versions_that_start_anew_open_nothing_that_drained_or_went() {
     let mut register = Register::default();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -85,8 +85,8 @@
 const TABLE_PART: f64 = 0.5;
 /// Part of the channel that anything may fill.
 const URGENT_FILL: f64 = 0.9;
-/// s; a channel that has not brought a receipt for so long holds nothing for anybody who is left.
-const RECEIPT_SPAN: f64 = 5.0;
+/// s; a channel that has not brought an acknowledgement for so long holds nothing for anybody who is left.
+const ACKNOWLEDGE_SPAN: f64 = 5.0;
 /// Part of a message cap that ordinary weights may use.
 const ORDINARY_MESSAGES: f64 = 0.6;
 /// Part; the pressure (the usual server's time, failures counted, over the due time) where the line falls.
@@ -241,7 +241,7 @@
             let next = (now + GATHER).max(self.times.last_cycle + self.cycle() * EARLY);
             if next < self.times.next_cycle {
                 self.times.next_cycle = next;
-                out.wake((next - now).max(GATHER), 1);
+                out.set_timer((next - now).max(GATHER), 1);
             }
         }
         let cycle = now >= self.times.next_cycle;
@@ -260,10 +260,11 @@
             self.times.next_cycle = now + self.cycle() * OVERDUE;
         }
         // Guards against counting on a pace that the channel does not keep: it may be many times slower
-        // unannounced, so a message counts as waiting until a receipt shows that it, or a later one, has
-        // left. Should guard against any stall on the way; late receipts mean that less is written.
+        // unannounced, so a message counts as waiting until an acknowledgement shows that it, or a later one,
+        // has left. Should guard against any stall on the way; late acknowledgements mean that less is
+        // written.
         let pace = self.channel.lines_per_second * ORDINARY_PACE;
-        self.queue.settle(&round.receipts, now, RECEIPT_SPAN, pace);
+        self.queue.settle(&round.acknowledgements, now, ACKNOWLEDGE_SPAN, pace);
         if self.site.slices > 0 {
             self.keep_slices(round, now, out);
         } else if cycle || urgent || now >= self.times.next_beat {
@@ -274,7 +275,7 @@
         }
         if now >= self.times.next_beat {
             self.times.next_beat = now + BEAT;
-            out.wake(BEAT, 0);
+            out.set_timer(BEAT, 0);
         }
     }
 
--- a/src/round.rs
+++ b/src/round.rs
@@ -145,7 +145,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Receipt {
+pub struct Acknowledgement {
     pub proxy: u16,
     pub number: u64,
 }
@@ -183,10 +183,10 @@
     pub queries: Vec<ProxyQueries>,
     pub tries: Vec<Tries>,
     pub health: Vec<HealthAnswer>,
-    pub receipts: Vec<Receipt>,
+    pub acknowledgements: Vec<Acknowledgement>,
     pub charges: Vec<Charge>,
     pub letters: Vec<Letter>,
-    pub wakes: Vec<u64>,
+    pub timers: Vec<u64>,
     /// Where servers have prices: the plan that holds from now on; one without parts ends it.
     pub plan: Option<Plan>,
 }
@@ -226,8 +226,8 @@
 pub struct Chores {
     /// Servers to check.
     pub checks: Vec<Address>,
-    /// Seconds until a wake, and its number.
-    pub wakes: Vec<(f64, u64)>,
+    /// Seconds until a timer comes due, and its number.
+    pub timers: Vec<(f64, u64)>,
     pub notes: Vec<String>,
     /// The list is to be followed from now on.
     pub follow: bool,
@@ -242,12 +242,13 @@
     fn clear(&mut self, table: u16);
     fn bind(&mut self, proxy: u16, table: u16);
     fn withdraw(&mut self, server: Address, out: bool);
-    /// `classes` is as for [`named_classes`], `table` may be [`ALL_TABLES`]; `tries` is a mode of a further try.
+    /// `classes` is as for [`named_classes`], `table` may be [`ALL_TABLES`]; `tries` is a mode of a further
+    /// try.
     fn admit(&mut self, table: u16, classes: u16, level: f64, tries: u8);
     fn check_health(&mut self, server: Address);
     fn mark(&mut self, number: u64, everyone: bool);
     fn follow_list(&mut self);
     fn fetch_list(&mut self);
-    fn wake(&mut self, after: f64, number: u64);
+    fn set_timer(&mut self, after: f64, number: u64);
     fn note(&mut self, text: &str);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions remember of servers, proxies and tables. Nothing here decides anything.
 
-use crate::round::{Address, Entry, ProxyQueries, Readiness, Receipt, Tries};
+use crate::round::{Acknowledgement, Address, Entry, ProxyQueries, Readiness, Tries};
 use crate::sums::Fading;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -208,7 +208,7 @@
     messages: f64,
 }
 
-/// The book of a channel: what may wait in it as far as receipts tell, and what was written lately.
+/// The book of a channel: what may wait in it as far as acknowledgements tell, and what was written lately.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     marks: VecDeque<Mark>,
@@ -217,7 +217,7 @@
     /// Lines written, less what a steady pace has taken off since.
     pub spent: f64,
     settled_at: f64,
-    receipt_at: f64,
+    acknowledged_at: f64,
 }
 
 impl Queue {
@@ -233,26 +233,27 @@
             return None;
         }
         if self.marks.is_empty() {
-            self.receipt_at = now;
+            self.acknowledged_at = now;
         }
         self.marks.push_back(self.fresh);
         self.fresh = Mark { number: self.fresh.number.wrapping_add(1), ..Mark::default() };
         self.marks.back().map(|mark| u64::from(mark.number))
     }
 
-    /// Messages leave in order: a receipt shows that its message has left, and all of earlier rounds.
-    /// Without any for `patience` seconds, those that should send them are gone.
-    pub fn settle(&mut self, receipts: &[Receipt], now: f64, patience: f64, pace: f64) {
-        for receipt in receipts {
-            self.receipt_at = now;
-            if let Some(place) = self.marks.iter().position(|m| u64::from(m.number) == receipt.number) {
+    /// Messages leave in order: an acknowledgement shows that its message has left, and all of earlier
+    /// rounds. Without any for `patience` seconds, those that should send them are gone.
+    pub fn settle(&mut self, acknowledgements: &[Acknowledgement], now: f64, patience: f64, pace: f64) {
+        for acknowledgement in acknowledgements {
+            self.acknowledged_at = now;
+            if let Some(place) = self.marks.iter().position(|m| u64::from(m.number) == acknowledgement.number)
+            {
                 self.marks.drain(..place);
                 let mark = &mut self.marks[0];
                 mark.lines *= 1.0 - 1.0 / mark.messages.max(1.0);
                 mark.messages -= 1.0;
             }
         }
-        if now - self.receipt_at > patience {
+        if now - self.acknowledged_at > patience {
             self.marks.clear();
         }
         self.spent = (self.spent - (now - self.settled_at) * pace).max(0.0);
--- a/tables/src/history.rs
+++ b/tables/src/history.rs
@@ -11,8 +11,8 @@
     pub queries: usize,
     pub tries: usize,
     pub health: usize,
-    pub receipts: usize,
-    pub wakes: usize,
+    pub acknowledgements: usize,
+    pub timers: usize,
 }
 
 impl News {
@@ -23,8 +23,8 @@
             queries: round.queries.len(),
             tries: round.tries.len(),
             health: round.health.len(),
-            receipts: round.receipts.len(),
-            wakes: round.wakes.len(),
+            acknowledgements: round.acknowledgements.len(),
+            timers: round.timers.len(),
         }
     }
 
@@ -36,8 +36,8 @@
             ("queries", self.queries),
             ("tries", self.tries),
             ("health", self.health),
-            ("receipts", self.receipts),
-            ("wakes", self.wakes),
+            ("acknowledgements", self.acknowledgements),
+            ("timers", self.timers),
         ];
         all.into_iter().filter(|(_, count)| *count > 0)
     }
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -16,7 +16,7 @@
 pub use pull::{Kind, Pull};
 pub use versions::{frozen, Kept, Lines, Refusal, Versions};
 
-use oatlever::round::{named_classes, Address, Chores, Receipt, Writer, ALL_TABLES};
+use oatlever::round::{named_classes, Acknowledgement, Address, Chores, Writer, ALL_TABLES};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
@@ -329,8 +329,8 @@
     }
 
     /// What has left the channel by now, in the order it was ordered.
-    pub fn receipts(&mut self, now: f64) -> Vec<Receipt> {
-        self.pull.receipts(now)
+    pub fn acknowledgements(&mut self, now: f64) -> Vec<Acknowledgement> {
+        self.pull.acknowledgements(now)
     }
 
     /// A stream broke: the asker holds no table here any more, and nothing waits for it.
@@ -442,8 +442,8 @@
     fn follow_list(&mut self) {}
     fn fetch_list(&mut self) {}
 
-    fn wake(&mut self, after: f64, number: u64) {
-        self.chores.wakes.push((after, number));
+    fn set_timer(&mut self, after: f64, number: u64) {
+        self.chores.timers.push((after, number));
     }
 
     fn note(&mut self, text: &str) {
--- a/tables/src/pull.rs
+++ b/tables/src/pull.rs
@@ -5,7 +5,7 @@
 //! newer ones for all it holds. A message to a proxy on a stream waits until it is acknowledged. Receipts are passed on in the order of the orders, as the decisions take
 //! one for proof that all earlier messages have left.
 
-use oatlever::round::Receipt;
+use oatlever::round::Acknowledgement;
 use std::collections::VecDeque;
 
 /// Until when answers of a class may be in use, by those who were handed them.
@@ -121,7 +121,7 @@
     }
 
     /// Receipts of what has left by now.
-    pub fn receipts(&mut self, now: f64) -> Vec<Receipt> {
+    pub fn acknowledgements(&mut self, now: f64) -> Vec<Acknowledgement> {
         let mut out = Vec::new();
         while self.messages.front().is_some_and(|front| front.left_at() <= now) {
             let Some(front) = self.messages.pop_front() else { break };
@@ -130,7 +130,7 @@
                 own.pop_front();
             }
             self.taken += 1;
-            out.extend(front.number.map(|number| Receipt { proxy: front.asker, number }));
+            out.extend(front.number.map(|number| Acknowledgement { proxy: front.asker, number }));
             self.waiting -= front.lines;
         }
         if self.messages.is_empty() {
@@ -144,7 +144,7 @@
         self.end(asker, version, true);
     }
 
-    /// A proxy on a stream has refused what a version brought: it has left the channel without a receipt.
+    /// A proxy on a stream has refused what a version brought: it has left the channel without an acknowledgement.
     pub fn refuse(&mut self, asker: u16, version: u64) {
         self.end(asker, version, false);
     }
--- a/tables/tests/tables.rs
+++ b/tables/tests/tables.rs
@@ -116,9 +116,9 @@
         true
     }
 
-    /// No receipt while an answer older than the order may be in use; a receipt as soon as none may be,
+    /// No acknowledgement while an answer older than the order may be in use; an acknowledgement as soon as none may be,
     /// and nothing ordered earlier still waits.
-    fn receipts_tell_the_truth(steps: Vec<(u8, u8, u8)>) -> TestResult {
+    fn acknowledgements_tell_the_truth(steps: Vec<(u8, u8, u8)>) -> TestResult {
         let kinds = [Kind::Host, Kind::Group, Kind::Host];
         let mut pull = Pull::new(&kinds, CLASSES, HOLD, 0.0);
         // Every answer ever handed out: asker, class, version, until. At the start anything may be held.
@@ -143,7 +143,7 @@
                 }
                 answers.push((asker, class, version, now + HOLD));
             }
-            told += pull.receipts(now).len();
+            told += pull.acknowledgements(now).len();
             let left = |(asker, version): &(u16, u64)| {
                 !answers.iter().any(|a| a.0 == *asker && a.2 < *version && a.3 > now)
             };
@@ -239,22 +239,23 @@
     pull.order(1, 7.0, Some(1), 1, 0.5);
     pull.leave(0);
     assert_eq!(pull.waiting(), 7.0);
-    assert_eq!(pull.receipts(HOLD).len(), 1);
+    assert_eq!(pull.acknowledgements(HOLD).len(), 1);
 }
 
-/// An ACK is a receipt, a NACK is none; both have left, and what a broken stream was owed waits no more.
+/// An ACK is an acknowledgement, a NACK is none; both have left, and what a broken stream was owed waits no more.
 #[test]
 fn streams_acknowledge_refuse_or_break() {
     let mut pull = Pull::new(&[Kind::Stream; 3], 1, HOLD, 0.0);
     for version in 1..=2 {
         (0..3).for_each(|asker| pull.order(asker, 2.0, Some(version), version, 1.0));
     }
-    assert!(pull.receipts(1e9).is_empty(), "time alone is no receipt");
+    assert!(pull.acknowledgements(1e9).is_empty(), "time alone is no acknowledgement");
     pull.acknowledge(1, 1);
-    assert!(pull.receipts(2.0).is_empty(), "the one before has not left");
+    assert!(pull.acknowledgements(2.0).is_empty(), "the one before has not left");
     pull.refuse(0, 2);
-    let told =
-        |pull: &mut Pull| -> Vec<_> { pull.receipts(3.0).iter().map(|r| (r.proxy, r.number)).collect() };
+    let told = |pull: &mut Pull| -> Vec<_> {
+        pull.acknowledgements(3.0).iter().map(|r| (r.proxy, r.number)).collect()
+    };
     assert_eq!(told(&mut pull), [(1, 1)]);
     pull.leave(2);
     assert_eq!(told(&mut pull), []);
@@ -283,7 +284,7 @@
     assert_eq!(tables.release(0, 2.5, &mut Unreviewed), Err(Refusal::NotFrozen));
     assert_eq!(tables.roll_back(0, 1, 2.5, &mut Unreviewed), Ok(3));
     assert_eq!((held(&tables), tables.frozen_at(0)), (vec![(server(1), 0.25), (server(2), 0.75)], Some(1)));
-    assert_eq!(tables.pull.receipts(1e9).len(), 0, "nothing was acknowledged yet");
+    assert_eq!(tables.pull.acknowledgements(1e9).len(), 0, "nothing was acknowledged yet");
     order(&mut tables, 3, &[(1, 5.0)]);
     assert_eq!(held(&tables), [(server(1), 0.25), (server(2), 0.75)]);
     // A drain goes through, and a server that is cold now gets no more than the decisions give it.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -141,7 +141,7 @@
     let mut round = at(5.0);
     round.streams = vec![Stream { proxy: 9, up: false, zone: 0, rate: 0.0 }];
     round.tries = vec![tries(77, 0, 0.0, 0.0, 0.0), tries(78, 0, 1.0, 5.0, 0.0)];
-    round.receipts = vec![Receipt { proxy: 3, number: 1 }];
+    round.acknowledgements = vec![Acknowledgement { proxy: 3, number: 1 }];
     play.round(&round);
     assert!(play.book.tables.values().all(|t| t.is_empty()) && play.book.bound.is_empty());
     play.round(&open(6.0, vec![entry(1, 0, Readiness::Draining, 0.0)], vec![join(0, 0), join(0, 0)]));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,4 +1,5 @@
-//! Seeded settings of any customer, within what the operators' pages allow: each starts, and the rules hold under it.
+//! Seeded settings of any customer, within what the operators' pages allow: each starts, and the rules hold
+//! under it.
 
 // Other test files use the rest of it.
 #[allow(dead_code)]
@@ -11,7 +12,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use support::*;
 
-/// A customer's settings, and what happens on a day: the first number of a step says what, the second to whom.
+/// A customer's settings, and what happens on a day: the first number of a step says what, the second to
+/// whom.
 #[derive(Clone, Debug)]
 struct Day {
     settings: Value,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -145,7 +145,7 @@
                 break;
             }
             sent -= *lines;
-            round.receipts.extend(mark.map(|number| Receipt { proxy: *proxy, number }));
+            round.acknowledgements.extend(mark.map(|number| Acknowledgement { proxy: *proxy, number }));
             self.queue.pop_front();
         }
         for stream in &round.streams {
@@ -220,7 +220,7 @@
         self.asked += 1;
     }
     fn fetch_list(&mut self) {}
-    fn wake(&mut self, after: f64, _: u64) {
+    fn set_timer(&mut self, after: f64, _: u64) {
         assert!(after.is_finite() && after > 0.0);
     }
     fn note(&mut self, _: &str) {}
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -191,7 +191,7 @@
     fn fetch_list(&mut self) {
         self.record(267, &[]);
     }
-    fn wake(&mut self, after: f64, number: u64) {
+    fn set_timer(&mut self, after: f64, number: u64) {
         let span = (after * 1000.0).to_be_bytes();
         self.record(263, &[&span, &number.to_be_bytes()]);
     }
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -5,8 +5,8 @@
 use crate::{malformed, Malformed};
 use oatlever::balance::Balancer;
 use oatlever::round::{
-    Charge, Entry, HealthAnswer, Letter, List, ListNews, ProxyQueries, Readiness, Receipt, Round, Stream,
-    Tries,
+    Acknowledgement, Charge, Entry, HealthAnswer, Letter, List, ListNews, ProxyQueries, Readiness, Round,
+    Stream, Tries,
 };
 use std::collections::BTreeMap;
 
@@ -99,7 +99,7 @@
                 },
                 entries: entries(batch.tail(at, 13, ENTRY)?)?,
             }),
-            257 => round.wakes.push(at.u64(4)),
+            257 => round.timers.push(at.u64(4)),
             258 => round.streams.push(Stream { proxy: at.u16(4), up: false, zone: 0, rate: 0.0 }),
             259 => {
                 let slice = at.u16(14);
@@ -140,7 +140,7 @@
                 at.check_load(20)?;
                 round.health.push(HealthAnswer { server: at.address(14), fine: at.u16(12) == 100 });
             }
-            269 => round.receipts.push(Receipt { proxy: at.u16(4), number: at.u64(6) }),
+            269 => round.acknowledgements.push(Acknowledgement { proxy: at.u16(4), number: at.u64(6) }),
             _ => return malformed(format!("an event of unknown code {code}")),
         }
         Ok(())
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -73,7 +73,7 @@
     let server = Address { host: [0x0a, 0x90, 0x11, 0xf2], port: 0x1b84 };
     reply.speak_for(3);
     reply.weigh(0x75, server, 0.5);
-    reply.wake(0.5, 0x4d);
+    reply.set_timer(0.5, 0x4d);
     reply.bind(0x29, 0x75);
     reply.admit(0x75, 2, 0.5, 1);
     reply.speak_for(5);
--- a/xds/tests/front/streams.rs
+++ b/xds/tests/front/streams.rs
@@ -100,13 +100,14 @@
         let drops = of("reserve").policy.unwrap().drop_overloads;
         assert_eq!(drops[0].drop_percentage.unwrap().numerator, 250_000);
         assert!(of("search").policy.unwrap().drop_overloads.is_empty());
-        // All that it subscribed to is taken: the receipt of what it was bound with may go.
+        // All that it subscribed to is taken: the acknowledgement of what it was bound with may go.
         let book = play.book.clone();
-        book.until("a receipt", |state| !state.tables.borrow_mut().receipts(1e9).is_empty()).await;
+        book.until("an acknowledgement", |state| !state.tables.borrow_mut().acknowledgements(1e9).is_empty())
+            .await;
     });
 }
 
-/// A refusal is logged with its reason, gives no receipt, and is not answered with the same again; the next
+/// A refusal is logged with its reason, gives no acknowledgement, and is not answered with the same again; the next
 /// change goes out.
 #[test]
 fn a_refusal_keeps_the_books_and_does_not_loop() {
@@ -129,7 +130,9 @@
         book.0.changed.notify(usize::MAX);
         Timer::after(Duration::from_millis(50)).await;
         assert_eq!(play.shared.counts.borrow().pushes, pushes, "the same was sent again");
-        assert!(book.0.tables.borrow_mut().receipts(1e9).is_empty() && book.0.told.borrow().is_empty());
+        assert!(
+            book.0.tables.borrow_mut().acknowledgements(1e9).is_empty() && book.0.told.borrow().is_empty()
+        );
         // It has answered, so patience does not cut it off: it would only dial and refuse again.
         Timer::after(Duration::from_secs_f64(2.0 * PATIENCE)).await;
         assert_eq!(*book.0.up.borrow(), [(0, true)]);
@@ -157,12 +160,13 @@
         let version = book.version();
         book.until("the last version", |state| state.told.borrow().contains(&(2, version))).await;
         book.until("the cut", |state| state.up.borrow().contains(&(0, false))).await;
-        // What waits for the one that was cut off is dropped, so that the others' receipts go on.
-        let receipts = book.0.tables.borrow_mut().receipts(1e9);
+        // What waits for the one that was cut off is dropped, so that the others' acknowledgements go on.
+        let acknowledgements = book.0.tables.borrow_mut().acknowledgements(1e9);
         assert!(
-            receipts.iter().all(|receipt| receipt.proxy == 2) && receipts.len() > 100,
+            acknowledgements.iter().all(|acknowledgement| acknowledgement.proxy == 2)
+                && acknowledgements.len() > 100,
             "{}",
-            receipts.len()
+            acknowledgements.len()
         );
         assert_eq!(book.0.tables.borrow().pull.waiting(), 0.0);
         let pushed = play.shared.counts.borrow().pushes;
@@ -255,8 +259,8 @@
             state.told.borrow().iter().filter(|(_, held)| *held >= version).count() == 480
         })
         .await;
-        let left = book.0.tables.borrow_mut().receipts(1e9).len();
-        assert!(left >= 480 && book.0.tables.borrow().pull.waiting() == 0.0, "{left} receipts");
+        let left = book.0.tables.borrow_mut().acknowledgements(1e9).len();
+        assert!(left >= 480 && book.0.tables.borrow().pull.waiting() == 0.0, "{left} acknowledgements");
         drop(all);
     });
 }
@@ -353,7 +357,7 @@
             })
             .await;
         let mut tables = play.book.0.tables.borrow_mut();
-        assert_eq!((tables.receipts(1e9).len(), tables.pull.waiting()), (3, 0.0));
+        assert_eq!((tables.acknowledgements(1e9).len(), tables.pull.waiting()), (3, 0.0));
     });
 }
 
@@ -436,7 +440,7 @@
         book.until("the slow ones' end", |state| off(state) == 20).await;
         assert!(book.0.up.borrow().iter().all(|(asker, up)| *up || asker % 2 == 1));
         let mut tables = book.0.tables.borrow_mut();
-        assert!(tables.receipts(1e9).iter().all(|receipt| receipt.proxy % 2 == 0));
+        assert!(tables.acknowledgements(1e9).iter().all(|acknowledgement| acknowledgement.proxy % 2 == 0));
         assert_eq!(tables.pull.waiting(), 0.0);
         drop((slow, quick));
     });
