Read the whole list where a source answers what is newer with nothing of use

Cause: lists.rs asked again for what is newer than the version it held, also where the source had answered that it knows no such version (status 410) or told what was of no use; such a source was asked so for ever. Found by reading, forced on loopback: `a_source_that_knows_no_versions_any_more_is_read_whole` fails on the build before (no `s-2` in 20 s). Change: after an answer of no use all of the list is asked for; after none, as where a watch falls silent, what is newer.

--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -3,7 +3,7 @@
 use super::Pilot;
 use futures_lite::future;
 use oatlever_reactor::Timer;
-use oatlever_roster::platform::{Origin, PlatformDocument, Watch};
+use oatlever_roster::platform::{Missed, Origin, PlatformDocument, Watch};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,14 +52,10 @@
     }
 
     /// Goes on after an answer; tells whether it was of use, and how long to wait before the next call.
-    fn after(&mut self, answer: Result<PlatformDocument, String>, pilot: &Pilot) -> (bool, f64) {
+    fn after(&mut self, answer: Result<PlatformDocument, Missed>, pilot: &Pilot) -> (bool, f64) {
         let taken = answer.and_then(|document| match self.take(&document, pilot) {
             Ok(()) => Ok(document),
-            // Changes to another list than the one that is held tell nothing: all of it does.
-            Err(what) => {
-                self.whole = true;
-                Err(what)
-            }
+            Err(what) => Err(Missed { what, answered: true }),
         });
         match taken {
             Ok(document) => {
@@ -75,7 +71,10 @@
                 self.pause_failed = PAUSE_FAILED;
                 (true, if self.whole { PAUSE_FAILED } else { PAUSE })
             }
-            Err(what) => {
+            Err(Missed { what, answered }) => {
+                // Guards against asking for ever for what is newer than a version of which the source knows
+                // nothing, or which it tells changes to that are of no use: all of the list says more.
+                self.whole |= answered;
                 if what != self.trouble {
                     tracing::warn!(%what, "no list of servers");
                     self.trouble = what;
--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -365,6 +365,18 @@
     holds(&mut peer, "s-3");
 }
 
+/// Guards against asking for ever for what is newer than a version that the source has forgotten.
+#[test]
+fn a_source_that_knows_no_versions_any_more_is_read_whole() {
+    let discovery = discovery(&[("s-1", "up")]);
+    let pilot = Pilot::start("forgot", &configuration(discovery.host, 64));
+    let mut peer = pilot.proxy(3, "s-1");
+    assert!(discovery.is_asked("index=", LONG));
+    discovery.forget_versions();
+    discovery.say("s-2", "up");
+    holds(&mut peer, "s-2");
+}
+
 /// Guards against a source that is never believed again as its versions start anew; and against a server that
 /// drained being open again by what may only be an older list.
 #[test]
--- a/roster/src/platform.rs
+++ b/roster/src/platform.rs
@@ -280,6 +280,14 @@
     }
 }
 
+/// Why an answer is of no use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Missed {
+    pub what: String,
+    /// The source has answered, but not what was asked for.
+    pub answered: bool,
+}
+
 /// Asks for the list, one call after the other on one connection for as long as that lasts.
 #[derive(Default)]
 pub struct Watch {
@@ -296,7 +304,7 @@
         after: Option<u64>,
         zones: &[String],
         (wait, patience): (f64, f64),
-    ) -> Result<PlatformDocument, String> {
+    ) -> Result<PlatformDocument, Missed> {
         let (path, wait) = match after {
             None => (PATH.to_string(), 0.0),
             Some(version) => (format!("{PATH}?index={version}&wait={}", (wait * 1000.0) as u64), wait),
@@ -318,13 +326,14 @@
             Ok((fresh, answer))
         };
         let got = fetch::within::<Alone, _>(wait + patience, asked).await;
-        let (kept, answer) = got.map_err(|e| format!("{host}: {e}"))?;
+        let missed = |answered: bool, what: String| Missed { what: format!("{host}: {what}"), answered };
+        let (kept, answer) = got.map_err(|e| missed(false, e.to_string()))?;
         if answer.status != 200 {
-            return Err(format!("{host}: status {}", answer.status));
+            return Err(missed(true, format!("status {}", answer.status)));
         }
-        let document = PlatformDocument::read(&answer.body, zones).map_err(|e| format!("{host}: {e}"))?;
+        let document = PlatformDocument::read(&answer.body, zones).map_err(|e| missed(true, e))?;
         if after.is_none() && !document.whole {
-            return Err(format!("{host}: changes where the whole list was asked for"));
+            return Err(missed(true, "changes where the whole list was asked for".to_string()));
         }
         self.kept = Some(kept);
         Ok(document)
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -21,6 +21,8 @@
     servers: BTreeMap<String, (u64, Value)>,
     calls: Vec<String>,
     connections: usize,
+    /// Versions are not known: what is newer than one is not told until all of the list was asked for.
+    forgot: bool,
     /// What is wrong with the next answers.
     spoilt: VecDeque<Spoilt>,
 }
@@ -91,6 +93,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Forgets what was told under which version.
+    pub fn forget_versions(&self) {
+        let mut held = self.shared.0.lock().expect("no thread panics");
+        held.forgot = true;
+        self.shared.1.notify_all();
+    }
+
     /// Has versions start anew, with these servers.
     pub fn count_anew(&self, servers: &[(&str, &str)]) {
         let mut held = self.shared.0.lock().expect("no thread panics");
@@ -100,8 +109,8 @@
         self.shared.1.notify_all();
     }
 
-    /// Spoils the next answers, each in its way, and waits until they were asked for; false where they are not
-    /// `within` that.
+    /// Spoils the next answers, each in its way, and waits until they were asked for; false where they are
+    /// not `within` that.
     pub fn spoil(&self, ways: &[Spoilt], within: Duration) -> bool {
         let mut held = self.shared.0.lock().expect("no thread panics");
         held.spoilt.extend(ways);
@@ -165,9 +174,15 @@
         let index = number("index=");
         if let (Some(index), Some(wait)) = (index, number("wait=")) {
             let until = Duration::from_millis(wait);
-            let old = |state: &mut State| state.version <= index && state.spoilt.is_empty();
+            let old = |state: &mut State| state.version <= index && state.spoilt.is_empty() && !state.forgot;
             held = shared.1.wait_timeout_while(held, until, old).expect("no thread panics").0;
         }
+        held.forgot &= index.is_some();
+        if held.forgot {
+            drop(held);
+            (&stream).write_all(b"HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n")?;
+            continue;
+        }
         let spoilt = held.spoilt.pop_front();
         shared.1.notify_all();
         let index = index.filter(|_| !matches!(spoilt, Some(Spoilt::Whole)));
