--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -287,6 +287,38 @@
     strangers.join().unwrap();
 }
 
+/// A whole fleet joins in one turn with cold servers all round, as after a release under a restart: a heartbeat is
+/// answered at once, and each proxy is served.
+#[test]
+fn a_fleet_that_joins_at_once_is_served() {
+    const FLEET: u16 = 400;
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut large = configuration(silent.local_addr().unwrap(), 1024);
+    large["settings"]["family-info"]["data-plane-size"] = json!(FLEET);
+    large["settings"]["family-info"]["egress-per-s"] = json!(1e6);
+    large["settings"]["family-info"]["queue-cap"] = json!(1e6);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let cold = |n: u16| {
+        let mut entry = server(&format!("s-{n}"), "up");
+        entry["started_ms"] = json!(now.as_secs_f64() * 1e3);
+        entry
+    };
+    large["known"]["servers"] = json!((0..60).map(cold).collect::<Vec<Value>>());
+    let pilot = Pilot::start("fleet", &large);
+    pilot.hold();
+    let mut fleet: Vec<Peer> = (0..FLEET).map(|_| pilot.dial()).collect();
+    for (proxy, peer) in fleet.iter_mut().enumerate() {
+        peer.say(attach(proxy as u16)).unwrap();
+    }
+    let mut asks = pilot.dial();
+    asks.say(json!({"msg": "hb"})).unwrap();
+    pilot.release();
+    assert_eq!(asks.hear().unwrap().unwrap()["msg"], "hb_ok");
+    for peer in &mut fleet {
+        assert!(peer.holds(LONG, |table| !table.is_empty()));
+    }
+}
+
 /// Guards against a proxy that can't come back as all places are held, its own old stream among them.
 #[test]
 fn a_new_stream_is_taken_where_all_places_are_held() {
