End the pilot with the demo that started it, and the demo with its pilot

Symptom: a demo ended by SIGTERM left its pilot as an orphan that held the ports; the pilot of the next demo ended at once, and that demo said nothing more and did not end.

--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -44,6 +44,10 @@
         /// Start of all chance: the same seed draws alike.
         #[arg(long)]
         seed: Option<u64>,
+        /// End as on SIGTERM when standard input ends, for a program that runs a pilot of its own: however that
+        /// program ends, its pipe closes.
+        #[arg(long)]
+        end_with_input: bool,
     },
     /// Run a pilot on the operators' platform until SIGTERM or SIGINT.
     Platform {
@@ -187,10 +191,13 @@
                     .and_then(|(read, path)| platform::run(read, path, begun).map_err(told(FAILED)))
             })
         }
-        Command::Pilot { settings, log, log_filter, seed } => read(&settings).and_then(|settings| {
-            logs::start(log, &log_filter).map_err(told(WRONG))?;
-            serve::run(settings, seed.unwrap_or_else(|| fastrand::u64(..))).map_err(told(FAILED))
-        }),
+        Command::Pilot { settings, log, log_filter, seed, end_with_input } => {
+            read(&settings).and_then(|settings| {
+                logs::start(log, &log_filter).map_err(told(WRONG))?;
+                let seed = seed.unwrap_or_else(|| fastrand::u64(..));
+                serve::run(settings, seed, end_with_input).map_err(told(FAILED))
+            })
+        }
     };
     done.map_or_else(|code| code, |()| ExitCode::SUCCESS)
 }
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::probes::Probes;
 use crate::{control, status};
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use event_listener::Event;
 use futures_lite::{future, StreamExt};
@@ -19,7 +19,7 @@
 use oatlever_xds::orca::{self, Gauges};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -263,8 +263,20 @@
     Keys::load(files).map_err(|e| format!("/xds/tls: {e}"))
 }
 
-/// Runs until SIGTERM or SIGINT. Errors: what could not be started, or why it ended.
-pub fn run(settings: Settings, seed: u64) -> Result<(), String> {
+/// Waits until standard input ends; for good where it can't be waited for, as it is a file.
+async fn input_ended() {
+    let Ok(input) = Async::new(std::io::stdin()) else { return future::pending().await };
+    loop {
+        match input.read_with(|input| input.lock().read(&mut [0; 64])).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Runs until SIGTERM or SIGINT, and no longer than standard input lasts where it is to end with it. Errors: what
+/// could not be started, or why it ended.
+pub fn run(settings: Settings, seed: u64, end_with_input: bool) -> Result<(), String> {
     let mut sockets = Vec::new();
     for (n, host) in settings.dns.listen.iter().enumerate() {
         let at = format!("/dns/listen/{n}");
@@ -420,11 +432,19 @@
             tracing::info!("asked to end");
             Ok(())
         };
+        let input = async {
+            match end_with_input {
+                true => input_ended().await,
+                false => future::pending().await,
+            }
+            tracing::info!("standard input has ended");
+            Ok(())
+        };
         let broke = async {
             broken.await;
             Err(failure.borrow_mut().take().unwrap_or_default())
         };
-        let end = future::or(signal, broke).await;
+        let end = future::or(future::or(signal, input), broke).await;
         gate.close();
         let until = Instant::now() + Duration::from_secs_f64(LAST_ANSWERS);
         while gate.in_hand() > 0 && Instant::now() < until {
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -7,6 +7,7 @@
 use crate::world::World;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::future;
 use oatlever_fetch::{get, Place};
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::RefCell;
@@ -27,6 +28,8 @@
     pub progress: bool,
 }
 
+/// Between looks whether the pilot still runs.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Tables that a hand reaches for; more than small fleets have.
 const TABLES: u8 = 12;
 
@@ -45,8 +48,10 @@
         let child = Command::new(&self.program)
             .arg("pilot")
             .arg(&self.settings)
-            .args(["--log", "json", "--seed", &seed.to_string()])
-            .stdin(Stdio::null())
+            .args(["--log", "json", "--seed", &seed.to_string(), "--end-with-input"])
+            // The pipe closes however this process ends, by a kill as well, and the pilot ends with it: one that
+            // is left holds the ports that the next one needs.
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn();
@@ -92,12 +97,23 @@
         told.ok().and_then(|told| serde_json::from_slice(&told.stdout).ok()).unwrap_or_default()
     }
 
+    /// What it said last, where it has ended unbidden.
+    fn ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let last = log.lines().last().unwrap_or("nothing").to_string();
+        Some(format!(
+            "the pilot ended by itself: {status}; its last words, in {}: {last}",
+            self.log.display()
+        ))
+    }
+
     /// Asks it to end. Errors: it did not end well.
     fn end(&mut self) -> Result<(), String> {
-        let Some(mut child) = self.child.take() else { return Ok(()) };
-        if let Ok(Some(status)) = child.try_wait() {
-            return Err(format!("the pilot ended by itself: {status}, see {}", self.log.display()));
+        if let Some(words) = self.ended() {
+            return Err(words);
         }
+        let Some(mut child) = self.child.take() else { return Ok(()) };
         kill_process(Pid::from_child(&child), Signal::TERM).map_err(|e| e.to_string())?;
         let status = child.wait().map_err(|e| e.to_string())?;
         if status.success() {
@@ -127,10 +143,22 @@
 
     let executor = Rc::new(LocalExecutor::new());
     let world = World::new(script, options.realm, options.instead, executor.clone());
-    async_io::block_on(executor.run(run(world, pilot, options.progress)))
+    let pilot = Rc::new(RefCell::new(pilot));
+    let played = run(world, pilot.clone(), options.progress);
+    async_io::block_on(executor.run(future::or(played, ended_unbidden(pilot))))
 }
 
-async fn run(world: Rc<World>, pilot: Pilot, progress: bool) -> Result<Vec<Entry>, String> {
+/// Waits until the pilot has ended though nobody ended it, which ends the day. Errors: always, with its last words.
+async fn ended_unbidden(pilot: Rc<RefCell<Pilot>>) -> Result<Vec<Entry>, String> {
+    loop {
+        Timer::after(LOOK_AGAIN).await;
+        if let Some(words) = pilot.borrow_mut().ended() {
+            return Err(words);
+        }
+    }
+}
+
+async fn run(world: Rc<World>, pilot: Rc<RefCell<Pilot>>, progress: bool) -> Result<Vec<Entry>, String> {
     let script = &world.script;
     for zone in 0..script.zones {
         for n in 0..script.servers {
@@ -150,7 +178,6 @@
     }
     world.servers.borrow().iter().for_each(|server| server.start(&world, false));
     let mut tasks = vec![world.executor.spawn(world.clone().roster())];
-    let pilot = Rc::new(RefCell::new(pilot));
     pilot.borrow_mut().start(script.seed)?;
     world.record.note(Event::PilotStarted);
     wait_for_answers(&world).await?;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -56,6 +56,9 @@
         /// Keep the script's prices from the pilot.
         #[arg(long)]
         no_prices: bool,
+        /// End when standard input ends, for a program that plays days.
+        #[arg(long)]
+        end_with_input: bool,
         #[command(flatten)]
         place: Place,
     },
@@ -97,6 +100,9 @@
     pilot: Option<PathBuf>,
 }
 
+/// Exit status where a program that plays days has ended before the day.
+const ENDED: u8 = 3;
+
 const DEMO: &str = include_str!("../scripts/demo.json");
 
 fn play(script: Script, place: &Place, instead: Option<Instead>) -> Result<Vec<Entry>, String> {
@@ -183,6 +189,7 @@
         std::fs::write(&written, text).map_err(|e| format!("{}: {e}", written.display()))?;
         let mut command = std::process::Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
         command.arg("day").arg(&written).arg("--record").arg(&record).args(["--realm", &realm.to_string()]);
+        command.arg("--end-with-input").stdin(std::process::Stdio::piped());
         if let Some(pilot) = &place.pilot {
             command.arg("--pilot").arg(pilot);
         }
@@ -191,8 +198,11 @@
     }
 
     fn end(mut self) -> Result<(Script, Vec<Entry>), String> {
-        self.process.wait().map_err(|e| e.to_string())?;
-        let read = recorded(&self.record);
+        // Its pipe stays open until it has ended: `wait` would close it before.
+        let input = self.process.stdin.take();
+        let status = self.process.wait().map_err(|e| e.to_string())?;
+        drop(input);
+        let read = recorded(&self.record).map_err(|e| format!("a day ended with {status}: {e}"));
         for path in [self.record.with_extension("script"), self.record] {
             let _ = std::fs::remove_file(path);
         }
@@ -213,7 +223,10 @@
             let entries = play(script.clone(), &place, None)?;
             Ok(report(&script, &entries))
         }
-        Command::Day { script, record, relays_by, guard, instead, no_prices, place } => {
+        Command::Day { script, record, relays_by, guard, instead, no_prices, end_with_input, place } => {
+            if end_with_input {
+                std::thread::spawn(end_with_standard_input);
+            }
             let mut script = read(&script)?;
             script.relays_by = relays_by.unwrap_or(script.relays_by);
             script.guard = guard.or(script.guard);
@@ -261,6 +274,12 @@
     }
 }
 
+/// Ends the process when standard input ends; its pilot ends with it.
+fn end_with_standard_input() {
+    let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+    std::process::exit(i32::from(ENDED));
+}
+
 fn main() -> ExitCode {
     match run(Arguments::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
