Let in what tables place before usage is reported, not everything

Symptom: among cold servers alone, each was brought all that came until usage was reported (5.0 requests a second for a server that bears 1.9).

Cause: levels divides by the classes' measured demand, and gave each class 1 where none is measured. Now the part that is placed is let in of each class; where levels are rates, it is taken of what the proxies usually bring.

Measured: four tests of tests/cold_start.rs failed and pass.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -178,8 +178,12 @@
     plan.parts.iter().map(flow).collect()
 }
 
-/// Levels by class: the line lets in this part of all queries, the most beneficial classes first.
+/// Levels by class: the line lets in this part of all queries, the most beneficial classes first. Where no
+/// usage by class is known, the part is let in of each: without it, everything would be let in.
 pub fn levels(line: f64, benefit: &[f64], demand: &[f64]) -> Vec<f64> {
+    if demand.iter().all(|class| *class <= 0.0) {
+        return vec![line.clamp(0.0, 1.0); benefit.len()];
+    }
     let mut order: Vec<usize> = (0..benefit.len()).collect();
     order.sort_by(|&a, &b| benefit[b].total_cmp(&benefit[a]));
     let mut left = line * demand.iter().sum::<f64>();
@@ -745,10 +749,15 @@
         let step = |level: f64| (level / LEVEL_STEP).round() * LEVEL_STEP;
         let here = self.proxies.values().filter(|p| p.joined && self.place(p) == place).count().max(1) as f64;
         let held = seconds_held(DEMAND_SPAN, self.site.report_period, STALE);
+        let offered = |class: usize| match demand.iter().any(|class| *class > 0.0) {
+            true => came(Some(place), class) / held,
+            // Before usage is reported a proxy may bring its rate in any class.
+            false => self.demand(true, now)[place] / demand.len() as f64,
+        };
         let levels = levels(self.line.part.min(placed), &benefit, &demand).into_iter().enumerate();
         let levels = levels.map(|(class, level)| match self.site.levels {
             Levels::Share => step(level),
-            Levels::Rate if level < 1.0 => (level * came(Some(place), class) / held / here).ceil(),
+            Levels::Rate if level < 1.0 => (level * offered(class) / here).ceil(),
             Levels::Rate => NO_LIMIT,
             Levels::Ignored => 1.0,
         });
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -96,6 +96,54 @@
     now
 }
 
+#[test]
+fn it_is_served_in_its_first_round() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    play.round(&open(START, cold(SERVERS), fleet()));
+    assert_all_served(&play, PROXIES);
+    assert_none_pushed_over(&play, SERVERS, CARRIES, START);
+}
+
+#[test]
+fn it_is_served_where_the_list_comes_before_it_or_after_it() {
+    for list_first in [true, false] {
+        let mut play = Play::new(site(), rules(), channel(0));
+        let (list, streams) = (open(START, cold(SERVERS), vec![]), open(START + 0.1, vec![], fleet()));
+        let streams = Round { lists: vec![], ..streams };
+        if list_first {
+            play.round(&list);
+            play.round(&streams);
+        } else {
+            play.round(&Round { now: START, ..streams });
+            play.round(&Round { now: START + 0.1, ..list });
+        }
+        assert_all_served(&play, PROXIES);
+        assert_none_pushed_over(&play, SERVERS, CARRIES, START + 0.1);
+    }
+}
+
+#[test]
+fn it_is_served_by_one_server_and_by_sixty() {
+    for servers in [1, 60] {
+        let mut play = Play::new(site(), rules(), channel(0));
+        play.round(&open(START, cold(servers), fleet()));
+        assert_all_served(&play, PROXIES);
+        assert_none_pushed_over(&play, servers, RATE * f64::from(PROXIES) / f64::from(servers), START);
+    }
+}
+
+/// What is let in before usage is reported is what the tables place, not everything.
+#[test]
+fn cold_servers_are_spared_before_usage_is_reported() {
+    for levels in [Levels::Share, Levels::Rate] {
+        let mut play = Play::new(Site { levels, ..site() }, rules(), channel(0));
+        play.book.rates = levels == Levels::Rate;
+        play.round(&open(START, cold(SERVERS), fleet()));
+        assert_all_served(&play, PROXIES);
+        assert_none_pushed_over(&play, SERVERS, CARRIES, START);
+    }
+}
+
 /// Proxies of another pilot come over while all servers are still cold.
 #[test]
 fn proxies_that_come_over_among_cold_servers_are_served() {
