Let in the little that cold servers carry where it is less than one step

Symptom: nothing is let in where servers start with 0.02 of their capacity, or with none a moment before.

Cause: levels are rounded to steps of 0.05. Below one step they go by halves of it now, downwards.

Measured: two tests of tests/cold_start.rs fail without this and pass with it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -746,7 +746,11 @@
         // A second try helps against a few bad servers and feeds a jam; the first reports, of what was
         // answered soonest, do not tell the two apart.
         let mode = if self.is_settled(now) && self.line.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
-        let step = |level: f64| (level / LEVEL_STEP).round() * LEVEL_STEP;
+        // Little that may be let in is not rounded to nothing: below one step, it goes by halves of it.
+        let step = |level: f64| match level / LEVEL_STEP {
+            steps if steps > 0.0 && steps < 1.0 => LEVEL_STEP * steps.log2().floor().exp2(),
+            steps => steps.round() * LEVEL_STEP,
+        };
         let here = self.proxies.values().filter(|p| p.joined && self.place(p) == place).count().max(1) as f64;
         let held = seconds_held(DEMAND_SPAN, self.site.report_period, STALE);
         let offered = |class: usize| match demand.iter().any(|class| *class > 0.0) {
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -132,6 +132,16 @@
     }
 }
 
+/// With no capacity at its start, a server can take something a moment later.
+#[test]
+fn it_is_served_where_servers_start_with_no_capacity() {
+    let from_nothing = Rules { cold_share: 0.0, ..rules() };
+    let mut play = Play::new(site(), from_nothing, channel(0));
+    play.round(&open(START, cold(SERVERS), fleet()));
+    go_on(&mut play, PROXIES);
+    assert_all_served(&play, PROXIES);
+}
+
 /// What is let in before usage is reported is what the tables place, not everything.
 #[test]
 fn cold_servers_are_spared_before_usage_is_reported() {
@@ -144,6 +154,16 @@
     }
 }
 
+/// A level far under one step is not rounded to nothing.
+#[test]
+fn something_is_let_in_however_little_servers_start_with() {
+    let frail = Rules { cold_share: 0.02, ..rules() };
+    let mut play = Play::of(site(), one_class(), frail, channel(0));
+    play.round(&open(START, cold(SERVERS), fleet()));
+    go_on(&mut play, PROXIES);
+    assert_all_served(&play, PROXIES);
+}
+
 /// Proxies of another pilot come over while all servers are still cold.
 #[test]
 fn proxies_that_come_over_among_cold_servers_are_served() {
