Count proxies that tell no usual rate by their usage, or all alike before that

Symptom: proxies that join with a rate of 0 among cold servers got no table; beside one that tells its rate, nothing of theirs was let in.

Cause: the budget of cold servers rests on the usual rates alone until attempts are reported. Such a proxy counts as measured now, and before usage is reported with one request a second, as only ratios matter then.

Measured: two tests of tests/cold_start.rs and the DNS test with usual_rate 0 failed and pass.

--- a/pilot/tests/program.rs
+++ b/pilot/tests/program.rs
@@ -309,7 +309,9 @@
 /// guard and the ledger, whatever rate they are said to bring.
 #[test]
 fn clients_among_cold_servers_alone_are_answered() {
-    for (name, usual_rate, guarded) in [("cold", 5.0, false), ("cold-guard", 5.0, true)] {
+    for (name, usual_rate, guarded) in
+        [("cold", 5.0, false), ("cold-0", 0.0, false), ("cold-guard", 5.0, true)]
+    {
         let folder = Folder::new(name);
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs_f64();
         let targets: Vec<String> = (1..6).map(|n| format!("10.0.0.{n}:7000")).collect();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -105,6 +105,8 @@
 const LINE_LEAST: f64 = 0.5;
 /// Part; levels are sent in steps of this size.
 const LEVEL_STEP: f64 = 0.05;
+/// Requests a second of a proxy that has told no rate, until its usage is reported; only ratios matter then.
+const UNKNOWN_RATE: f64 = 1.0;
 
 /// What the limits of cold servers go by at one moment.
 struct ColdBudget {
@@ -465,26 +467,30 @@
     /// Requests a second of a proxy by its reports; one that has just come counts as it usually does until
     /// they say more.
     fn measured_rate(&self, proxy: &Proxy, now: f64) -> f64 {
-        let Some(since) = proxy.since else { return proxy.rate };
+        let Some(since) = proxy.since else {
+            return if proxy.rate > 0.0 { proxy.rate } else { UNKNOWN_RATE };
+        };
         let age = (now - since).max(0.0);
         let came: f64 = proxy.came.iter().map(|c| c.read(now)).sum();
         let held = seconds_held(DEMAND_SPAN, self.site.report_period, age);
-        let usual_span = USUAL_SPAN * (-age / DEMAND_SPAN).exp();
+        let usual_span = if proxy.rate > 0.0 { USUAL_SPAN * (-age / DEMAND_SPAN).exp() } else { 0.0 };
         (came + proxy.rate * usual_span) / (held + usual_span)
     }
 
-    /// Requests a second that the joined proxies usually bring.
-    fn usual_demand(&self) -> f64 {
-        self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum()
+    /// Requests a second that the joined proxies usually bring, as they told; those that told nothing count
+    /// as measured.
+    fn usual_demand(&self, now: f64) -> f64 {
+        let usual = |p: &Proxy| if p.rate > 0.0 { p.rate } else { self.measured_rate(p, now) };
+        self.proxies.values().filter(|p| p.joined).map(usual).sum()
     }
 
     /// Requests a second that a unit of size carries: what was measured, or what the fleet must carry of the
     /// usual demand. Without the latter, cold servers have no budget until attempts are reported, and where all
     /// are cold there are none. It is not remembered: of a short list, each would count as strong as the fleet.
-    fn carried_by_size(&self) -> f64 {
+    fn carried_by_size(&self, now: f64) -> f64 {
         let listed: f64 = self.by_zone(|s| s.size).iter().sum();
         let listed = listed.max(self.line.most_listed * SHORT_LIST).max(f64::MIN_POSITIVE);
-        self.line.proven.max(self.usual_demand() / listed)
+        self.line.proven.max(self.usual_demand(now) / listed)
     }
 
     /// Trust falls at once to what a server deserves and comes back step by step, in cycles that brought
@@ -581,7 +587,7 @@
         }
         self.line.met = (answers + failed) / span;
         if self.line.pressure > LATE && sure {
-            let least = LINE_LEAST * self.carried_by_size() * weight;
+            let least = LINE_LEAST * self.carried_by_size(now) * weight;
             self.line.limit = self.line.limit.min(offered).min((answered * LINE_FALL).max(least));
         } else if self.line.pressure < EASY {
             // What grows while nothing is refused and nothing is late is no overload.
@@ -685,9 +691,9 @@
     }
 
     /// What the limits of cold servers go by now.
-    fn cold_budget(&self) -> ColdBudget {
+    fn cold_budget(&self, now: f64) -> ColdBudget {
         let usual_size = median(self.servers.values().map(|s| s.size).collect()).unwrap_or(0.0);
-        ColdBudget { carried_by_size: self.carried_by_size(), usual_size }
+        ColdBudget { carried_by_size: self.carried_by_size(now), usual_size }
     }
 
     /// Requests a second that a cold server may be sent at most, by all zones together. None counts as
@@ -708,7 +714,7 @@
         let demand = self.demand(true, now);
         let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let scale = all.max(self.line.met) / all;
-        let budget = self.cold_budget();
+        let budget = self.cold_budget(now);
         for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready() && self.is_cold(s, now)) {
             let sent =
                 wanted.iter().zip(&demand).map(|(lines, d)| lines.get(address).unwrap_or(&0.0) * d * scale);
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -122,6 +122,28 @@
     }
 }
 
+/// A rate of 0 says nothing: a proxy that brought nothing would not have joined.
+#[test]
+fn it_is_served_where_no_usual_rate_is_told() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    play.round(&open(START, cold(SERVERS), fleet_of_unknown_rate()));
+    let now = go_on(&mut play, PROXIES);
+    assert_all_served(&play, PROXIES);
+    assert_none_pushed_over(&play, SERVERS, CARRIES, now);
+}
+
+/// Those that tell a rate are no measure for those that do not.
+#[test]
+fn it_is_served_where_one_proxy_of_many_tells_its_rate() {
+    let mut play = Play::new(site(), rules(), channel(0));
+    let mut streams = fleet_of_unknown_rate();
+    streams[0].rate = RATE;
+    play.round(&open(START, cold(SERVERS), streams));
+    let now = go_on(&mut play, PROXIES);
+    assert_all_served(&play, PROXIES);
+    assert_none_pushed_over(&play, SERVERS, CARRIES, now);
+}
+
 #[test]
 fn it_is_served_by_one_server_and_by_sixty() {
     for servers in [1, 60] {
