Give cold servers as many slices as they surely carry

Symptom: with no warm server, slices had nobody until one was warm.

Cause: cold servers were given none, whatever their budget.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -800,11 +800,16 @@
             }
         }
         let named: Vec<Address> = self.slices.values().flat_map(|(lines, _)| lines).copied().collect();
-        // A slice can't be given by degrees, so a cold server has none until it is surely warm.
-        let warm = |s: &Server| s.is_ready() && !self.is_cold(s, now);
-        let ready = self.servers.iter().filter(|(_, s)| warm(s));
-        let mut load: BTreeMap<Address, usize> =
-            ready.map(|(a, _)| (*a, named.iter().filter(|n| *n == a).count())).collect();
+        // A slice can't be given by degrees: a cold server has as many as it surely carries.
+        let each = self.demand(true, now).iter().sum::<f64>() / self.site.slices as f64;
+        let budget = self.cold_budget(now);
+        let most = |s: &Server| match self.is_cold(s, now) {
+            true => (self.cold_limit(s, &budget, now) / each.max(f64::MIN_POSITIVE)) as usize,
+            false => usize::MAX,
+        };
+        let ready = self.servers.iter().filter(|(_, s)| s.is_ready());
+        let held = ready.map(|(a, s)| (*a, (named.iter().filter(|n| *n == a).count(), most(s))));
+        let mut load: BTreeMap<Address, (usize, usize)> = held.filter(|(_, (n, most))| n <= most).collect();
         let joined = self.proxies.values().filter(|p| p.joined).count() as f64;
         let settle = if self.site.one_owner { self.channel.longest_way + self.site.write_life } else { 0.0 };
         for (slice, (lines, left_at)) in &mut self.slices {
@@ -817,8 +822,10 @@
                 *left_at = now;
                 self.queue.spent += (self.channel.header_lines + 1.0) * joined;
             }
-            let next = load.iter_mut().min_by_key(|(_, n)| **n).filter(|_| lines.is_empty());
-            if let Some((next, n)) = next.filter(|_| now - *left_at >= settle) {
+            let open = load.iter_mut().filter(|(_, (n, most))| n < most);
+            let next =
+                open.min_by_key(|(_, (n, most))| (*most < usize::MAX, *n)).filter(|_| lines.is_empty());
+            if let Some((next, (n, _))) = next.filter(|_| now - *left_at >= settle) {
                 out.weigh(*slice, *next, 1.0);
                 lines.push(*next);
                 *n += 1;
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -218,3 +218,33 @@
     assert_all_served(&play, PROXIES);
     assert_none_pushed_over(&play, 60, RATE * f64::from(PROXIES) / 60.0, START + 5.2);
 }
+
+/// A slice can't be given by degrees; cold servers get as many as they surely carry, and the rest waits until they
+/// are warm: that none is pushed over holds before that nobody is left without.
+#[test]
+fn slices_among_cold_servers_alone_go_to_those_that_carry_them() {
+    let slices: u16 = 96;
+    let mut play = Play::new(Site { slices: usize::from(slices), ..site() }, rules(), channel(0));
+    let charge = |slice| Charge { slice, given: true, lines: vec![] };
+    play.round(&Round { charges: (0..slices).map(charge).collect(), ..open(START, cold(SERVERS), fleet()) });
+    let placed = |play: &Play| (0..slices).filter(|slice| !play.book.table(*slice).is_empty()).count() as u16;
+    let mut now = START;
+    while now < START + 0.7 * rules().warm_within {
+        now += 0.25;
+        play.round(&quarter(now, PROXIES));
+        let each = RATE * f64::from(PROXIES) / f64::from(slices);
+        let warmed = (now - START) / rules().warm_within;
+        let bears = CARRIES * (0.15 + 0.85 * warmed) * rules().fall_multiple;
+        for n in 0..SERVERS {
+            let held = play.book.tables.values().filter(|table| table.contains_key(&address(n))).count();
+            assert!(held as f64 * each <= bears, "server {n} holds {held} slices at {now}");
+        }
+    }
+    assert!(placed(&play) >= SERVERS, "{} slices are placed at {now}", placed(&play));
+    // 96 messages of five lines to six proxies take 7.2 s at the fifth of the channel's pace that they may use.
+    while now < START + rules().warm_within + 8.0 {
+        now += 0.25;
+        play.round(&quarter(now, PROXIES));
+    }
+    assert_eq!(placed(&play), slices);
+}
