--- a/src/balance.rs
+++ b/src/balance.rs
@@ -887,6 +887,9 @@
             return;
         }
         self.write(fit as f64, &users, now);
+        let ordinary_lines = fit.saturating_sub(must) as f64;
+        let ordinary_head = if must == 0 { head } else { 0.0 };
+        self.queue.spend((ordinary_lines + ordinary_head) * users.len() as f64);
         let kept = fit.saturating_sub(turns.len()).max(must.min(fit));
         let held = &mut self.tables[place];
         for change in changes.into_iter().take(kept) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -217,7 +217,7 @@
     marks: VecDeque<Mark>,
     /// What this round has written.
     fresh: Mark,
-    /// Lines written, less what a steady pace has taken off since.
+    /// Lines of ordinary orders, less what a steady pace has taken off since.
     pub spent: f64,
     settled_at: f64,
     acknowledged_at: f64,
@@ -227,7 +227,14 @@
     pub fn write(&mut self, lines: f64, messages: usize) {
         self.fresh.lines += lines * messages as f64;
         self.fresh.messages += messages as f64;
-        self.spent += lines * messages as f64;
+    }
+
+    /// Charges lines to the pace that ordinary orders keep to.
+    ///
+    /// What can't wait is not charged: the tables of a fleet that joins at once would take the whole of that pace
+    /// for many seconds, and shut out every weight and level while the channel is empty.
+    pub fn spend(&mut self, lines: f64) {
+        self.spent += lines;
     }
 
     /// The number to mark this round's messages with, if there are any.
