Order falling levels with what can't wait

Suspected, not seen on a pilot: a level that must fall shares the room of ordinary weights and waits where they have used it up. It goes with drains now; a level that rises stays ordinary.

Measured: the test of it passes before and after.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -875,20 +875,27 @@
         let must = changes.iter().filter(|c| c.must).count();
         let held = &self.tables[place].levels;
         let turns = (0..levels.len()).filter(|class| held.get(*class) != Some(&levels[*class]));
-        let turns: Vec<usize> = turns.collect();
+        let mut turns: Vec<usize> = turns.collect();
+        // A level that falls can't wait behind weights.
+        let open = if self.site.levels == Levels::Rate { NO_LIMIT } else { 1.0 };
+        let before = |class: usize| held.get(class).copied().filter(|l| !l.0.is_nan()).unwrap_or((open, 0));
+        let falls =
+            |class: &usize| levels[*class].0 < before(*class).0 || levels[*class].1 < before(*class).1;
+        let urgent_lines = must + turns.iter().filter(|class| falls(class)).count();
+        turns.sort_by_key(|class| !falls(class));
         let (most, waiting) = (self.channel.most_waiting, self.queue.waiting());
         let room = |fill: f64, used: f64| (fill * most - used) / users.len() as f64;
         let head = self.channel.header_lines + MARK_LINES;
-        let urgent = room(URGENT_FILL, waiting).min(head + must as f64);
+        let urgent = room(URGENT_FILL, waiting).min(head + urgent_lines as f64);
         let ordinary = room(ORDINARY_FILL, self.queue.spent.max(waiting)) * TABLE_PART;
         let room = ordinary.max(urgent) - head;
         let fit = (room.max(0.0) as usize).min(changes.len() + turns.len());
-        if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], must > 0, now)) {
+        if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], urgent_lines > 0, now)) {
             return;
         }
         self.write(fit as f64, &users, now);
-        let ordinary_lines = fit.saturating_sub(must) as f64;
-        let ordinary_head = if must == 0 { head } else { 0.0 };
+        let ordinary_lines = fit.saturating_sub(urgent_lines) as f64;
+        let ordinary_head = if urgent_lines == 0 { head } else { 0.0 };
         self.queue.spend((ordinary_lines + ordinary_head) * users.len() as f64);
         let kept = fit.saturating_sub(turns.len()).max(must.min(fit));
         let held = &mut self.tables[place];
--- a/tests/joins.rs
+++ b/tests/joins.rs
@@ -82,3 +82,17 @@
     let levels: Vec<f64> = play.book.levels.values().map(|level| level.0).collect();
     assert!(levels.iter().any(|level| *level < 1.0), "{levels:?}");
 }
+
+/// The same while weights take all that ordinary orders may: a level that falls does not wait behind them.
+#[test]
+fn a_level_that_must_fall_does_not_wait_behind_weights() {
+    let (mut play, mut now) = joined(1, 3);
+    // Thirds of the fleet turn slow in turns, so that all weights move in each cycle.
+    for second in 0..12 {
+        go_on(&mut play, now, 1, |n| if n % 3 == second % 3 { 0.5 } else { 0.1 });
+        now += 1.0;
+    }
+    go_on(&mut play, now, 1, |_| 3.0);
+    let levels: Vec<f64> = play.book.levels.values().map(|level| level.0).collect();
+    assert!(levels.iter().any(|level| *level < 1.0), "{levels:?}");
+}
