Let a table that most proxies hold order a weight at a time

Symptom: where one table has most proxies, none of its ordinary weights is ever ordered, on an empty channel.

Cause: one table may use half of the room that ordinary weights have left; shared by 240 proxies that is 5.2 lines, and the head of a message is 5. It may use as much as one line takes now, where there is that much.

Measured: a_table_that_all_proxies_hold_is_changed_in_time failed and passes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -887,7 +887,9 @@
         let room = |fill: f64, used: f64| (fill * most - used) / users.len() as f64;
         let head = self.channel.header_lines + MARK_LINES;
         let urgent = room(URGENT_FILL, waiting).min(head + urgent_lines as f64);
-        let ordinary = room(ORDINARY_FILL, self.queue.spent.max(waiting)) * TABLE_PART;
+        let ordinary = room(ORDINARY_FILL, self.queue.spent.max(waiting));
+        // Where one table has most proxies, half may be less than a head: no weight would ever go out.
+        let ordinary = ordinary.min((ordinary * TABLE_PART).max(head + 1.0));
         let room = ordinary.max(urgent) - head;
         let fit = (room.max(0.0) as usize).min(changes.len() + turns.len());
         if fit == 0 || !users.iter().all(|id| self.room(&self.proxies[id], urgent_lines > 0, now)) {
--- a/tests/joins.rs
+++ b/tests/joins.rs
@@ -96,3 +96,15 @@
     let levels: Vec<f64> = play.book.levels.values().map(|level| level.0).collect();
     assert!(levels.iter().any(|level| *level < 1.0), "{levels:?}");
 }
+
+/// The same where one table has all of the fleet: a message to each of its proxies is a large part of what ordinary
+/// weights may fill. Half of that, which one table may use, was less than the head of a message, so that no weight
+/// was ever ordered, on a channel that stayed empty.
+#[test]
+fn a_table_that_all_proxies_hold_is_changed_in_time() {
+    let (mut play, now) = joined(3, 1);
+    let before = play.book.part_of_all(7);
+    go_on(&mut play, now, ORDERED_WITHIN, |n| if n == 7 { 2.0 } else { 0.2 });
+    let after = play.book.part_of_all(7);
+    assert!(after < 0.8 * before, "its part was {before} and is {after}");
+}
