Soak restarts on the platform's protocol, and check what crossed the sockets

oatlever-standins soak plays seeded runs of one to three pilots: series of signals, kills without notice, clients that use their connections until the kill at 0.7 s, crowds that find no room, servers that start cold, lists and rates that say little. It checks that what was read is answered, that joined proxies hold a usable table, drains, cold servers, exits, time to ready, panics, memory and descriptors. A run that fails prints its seed and command and keeps logs and record.

--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -59,6 +59,9 @@
         /// What is logged, as `info` or `oatlever=debug`.
         #[arg(long, default_value = "info")]
         log_filter: String,
+        /// End as on SIGTERM when standard input ends, for a program that runs a pilot of its own.
+        #[arg(long)]
+        end_with_input: bool,
     },
     /// Check settings and say what is wrong with them.
     Check { settings: PathBuf },
@@ -181,14 +184,16 @@
                 s.askers.len()
             );
         }),
-        Command::Platform { configuration, log, log_filter } => {
+        Command::Platform { configuration, log, log_filter, end_with_input } => {
             let path = configuration.or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
             let path = path.ok_or_else(|| "no configuration: name one, or set BALANCER_CONFIG".to_string());
             platform::begin().map_err(told(FAILED)).and_then(|begun| {
                 path.and_then(|path| Ok((platform::Configuration::load(&path)?, path)))
                     .and_then(|read| logs::start(log, &log_filter).map(|()| read))
                     .map_err(told(WRONG))
-                    .and_then(|(read, path)| platform::run(read, path, begun).map_err(told(FAILED)))
+                    .and_then(|(read, path)| {
+                        platform::run(read, path, begun, end_with_input).map_err(told(FAILED))
+                    })
             })
         }
         Command::Pilot { settings, log, log_filter, seed, end_with_input } => {
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -171,8 +171,20 @@
     signals.read_with(|mut signals| signals.read(&mut [0; 64])).await.map(drop)
 }
 
-/// Runs until SIGTERM or SIGINT. Errors: what could not be started.
-pub fn run(configuration: Configuration, path: PathBuf, begun: Begun) -> Result<(), String> {
+/// Waits until standard input ends; for good where it can't be waited for, as it is a file.
+async fn input_ended() {
+    let Ok(input) = Async::new(io::stdin()) else { return future::pending().await };
+    while input.read_with(|input| input.lock().read(&mut [0; 64])).await.is_ok_and(|bytes| bytes > 0) {}
+}
+
+/// Runs until SIGTERM or SIGINT, and no longer than standard input lasts where it is to end with it. Errors: what
+/// could not be started.
+pub fn run(
+    configuration: Configuration,
+    path: PathBuf,
+    begun: Begun,
+    end_with_input: bool,
+) -> Result<(), String> {
     let Begun { ends, reloads, clock } = begun;
     let signals = Async::new(ends).and_then(|ends| Ok((ends, Async::new(reloads)?)));
     let (ends, reloads) = signals.map_err(|e| format!("signals: {e}"))?;
@@ -221,7 +233,14 @@
             };
             let replaced = async { signalled(&reloads).await.map(|()| Some(RELOADS)) };
             let told = async { signalled(&ends).await.map(|()| None) };
-            match future::or(told, future::or(replaced, again)).await {
+            let input = async {
+                match end_with_input {
+                    true => input_ended().await,
+                    false => future::pending().await,
+                }
+                Ok(None)
+            };
+            match future::or(future::or(told, input), future::or(replaced, again)).await {
                 Ok(Some(left)) => tries = left,
                 Ok(None) | Err::<_, io::Error>(_) => break,
             }
--- a/pilot/src/serve.rs
+++ b/pilot/src/serve.rs
@@ -265,13 +265,8 @@
 
 /// Waits until standard input ends; for good where it can't be waited for, as it is a file.
 async fn input_ended() {
-    let Ok(input) = Async::new(std::io::stdin()) else { return future::pending().await };
-    loop {
-        match input.read_with(|input| input.lock().read(&mut [0; 64])).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-    }
+    let Ok(input) = Async::new(io::stdin()) else { return future::pending().await };
+    while input.read_with(|input| input.lock().read(&mut [0; 64])).await.is_ok_and(|bytes| bytes > 0) {}
 }
 
 /// Runs until SIGTERM or SIGINT, and no longer than standard input lasts where it is to end with it. Errors: what
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod script;
 mod servers;
+mod soaking;
 mod streams;
 mod web;
 mod world;
@@ -78,6 +79,23 @@
         #[command(flatten)]
         place: Place,
     },
+    /// Play seeded runs of restarts on the platform's protocol and check what crossed the sockets.
+    Soak {
+        /// Runs, each of the next seed.
+        #[arg(long, default_value_t = 10)]
+        runs: u64,
+        #[arg(long, default_value_t = 1)]
+        first_seed: u64,
+        /// s; length of a run.
+        #[arg(long, default_value_t = 8.0)]
+        seconds: f64,
+        /// Runs played at once.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=8))]
+        at_once: u8,
+        /// The pilot's program; left out, the one beside this program.
+        #[arg(long)]
+        pilot: Option<PathBuf>,
+    },
     /// Check the rules on a record.
     Judge { record: PathBuf },
     /// Write a page of what a recorded day with prices cost, as HTML.
@@ -105,15 +123,20 @@
 
 const DEMO: &str = include_str!("../scripts/demo.json");
 
-fn play(script: Script, place: &Place, instead: Option<Instead>) -> Result<Vec<Entry>, String> {
+/// The pilot's program: the one named, or that beside this program. Errors: there is none.
+fn program(named: Option<&PathBuf>) -> Result<PathBuf, String> {
     let beside = || std::env::current_exe().map(|own| own.with_file_name("oatlever"));
-    let program = place.pilot.clone().map_or_else(beside, Ok).map_err(|e| e.to_string())?;
-    if !program.exists() {
-        return Err(format!(
-            "{}: no pilot here; build the workspace or name it by --pilot",
-            program.display()
-        ));
+    let program = named.cloned().map_or_else(beside, Ok).map_err(|e| e.to_string())?;
+    match program.exists() {
+        true => Ok(program),
+        false => {
+            Err(format!("{}: no pilot here; build the workspace or name it by --pilot", program.display()))
+        }
     }
+}
+
+fn play(script: Script, place: &Place, instead: Option<Instead>) -> Result<Vec<Entry>, String> {
+    let program = program(place.pilot.as_ref())?;
     let folder = std::env::temp_dir().join(format!("oatlever-{}-{}", std::process::id(), place.realm));
     let realm = Realm { number: place.realm, dns: place.dns, status: place.status };
     println!("dns {}  status http://{}/status  settings {}", realm.dns(), realm.status(), folder.display());
@@ -260,6 +283,10 @@
             }
             Ok(kept)
         }
+        Command::Soak { runs, first_seed, seconds, at_once, pilot } => {
+            let program = program(pilot.as_ref())?;
+            soaking::soak(first_seed..first_seed + runs, seconds, usize::from(at_once), &program)
+        }
         Command::Costs { record, page } => {
             let (script, entries) = recorded(&record)?;
             let cost = cost::of(&script, &entries);
