Tell a close from a reset in a test, hold pilots amid signals; correct a postmortem

The soak holds half of the pilots that are signalled, so that the signals meet in one turn with what every client asked. closed_and_reset_connections_are_told_apart shows on real sockets that its check finds a request that was read, and no other.

--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -560,8 +560,8 @@
 
 /// Requests that came before SIGTERM have their answers, and the pilot ends within the earliest kill.
 ///
-/// What callers saw: a heartbeat was read and its answer was ready to be written when the signal was taken up in the
-/// same turn; the loop ended there, the tasks that write were dropped, and the connection was closed without a word.
+/// What callers saw: heartbeats that had been sent before the signal were reset with their connections. They had not
+/// been read (the client's socket tells of a reset, each time), as the signal is taken up before the sockets are.
 #[test]
 fn answers_that_are_owed_go_out_before_the_end() {
     // The page: SIGKILL follows no sooner than 0.7 s after SIGTERM.
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -7,5 +7,5 @@
 pub mod check;
 pub mod plan;
 pub mod play;
-mod proxy;
+pub mod proxy;
 pub mod record;
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -58,8 +58,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Signals to a pilot, `gap` seconds apart. Where one asks it to end, it is killed at the page's earliest after
-    /// that, and started again.
-    Signals { pilot: usize, series: Vec<Signal>, gap: f64 },
+    /// that, and started again. Where it is held, its process stands still before and while they are sent, so that
+    /// they meet it in one turn with what all clients have asked meanwhile.
+    Signals { pilot: usize, series: Vec<Signal>, gap: f64, held: bool },
     /// A kill without notice, and a start.
     Kill { pilot: usize },
     /// A server drains, and comes back cold later.
@@ -109,11 +110,8 @@
                 vec![End, Reload],
                 vec![Reload, Reload, Reload],
             ];
-            Action::Signals {
-                pilot,
-                series: one_of(chance, &series),
-                gap: one_of(chance, &[0.0, 0.002, 0.05]),
-            }
+            let (series, gap) = (one_of(chance, &series), one_of(chance, &[0.0, 0.002, 0.05]));
+            Action::Signals { pilot, series, gap, held: chance.bool() }
         }
     }
 }
--- a/standins/src/soak/play.rs
+++ b/standins/src/soak/play.rs
@@ -17,6 +17,8 @@
 
 /// From SIGTERM to the kill: the page's earliest.
 const EARLIEST_KILL: Duration = Duration::from_millis(700);
+/// A process that is held stands still for so long, in which every client asks.
+const HELD_FOR: Duration = Duration::from_millis(60);
 /// Between looks whether a process has ended.
 const LOOK_AGAIN: Duration = Duration::from_millis(1);
 /// Between samples of memory and descriptors.
@@ -126,10 +128,15 @@
                 pilot.exited(recorder, Exit::KilledUnasked);
                 self.start(&mut pilot)
             }
-            Action::Signals { pilot, series, gap } => {
+            Action::Signals { pilot, series, gap, held } => {
                 let mut pilot = self.pilots[*pilot].lock().expect("no thread panics");
                 pilot.look(recorder);
+                if *held {
+                    pilot.signal(SystemSignal::STOP);
+                    std::thread::sleep(HELD_FOR);
+                }
                 let asked = self.signal(&pilot, series, Duration::from_secs_f64(*gap));
+                pilot.signal(SystemSignal::CONT);
                 if let Some(asked) = asked {
                     pilot.wait(recorder, asked + EARLIEST_KILL);
                     self.start(&mut pilot)?;
--- a/standins/src/soak/proxy.rs
+++ b/standins/src/soak/proxy.rs
@@ -254,7 +254,7 @@
                 2 => stream.stream.write_all(b"{\"msg\":\"attach\",\"pro"),
                 _ => stream.ask(),
             };
-            while !shared.is_over() && stream.hear().is_some() {}
+            while stream.hear().is_some() && !shared.is_over() {}
         }
         std::thread::sleep(DIAL_AGAIN);
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -3,8 +3,12 @@
 
 use oatlever_standins::soak::check::{check, Violation};
 use oatlever_standins::soak::plan::Plan;
-use oatlever_standins::soak::record::{Ending, Entry, Event, Exit, Table};
+use oatlever_standins::soak::proxy::{stranger, Shared};
+use oatlever_standins::soak::record::{Ending, Entry, Event, Exit, Recorder, Table};
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
 use std::process::Command;
+use std::sync::atomic::Ordering;
 
 /// A run of one pilot, two proxies and two warm servers, written by hand.
 struct Record {
@@ -75,6 +79,36 @@
     assert_eq!(record.found(), [Violation::Unanswered { connection: 7, requests: 2 }]);
 }
 
+/// On real sockets: a pilot that reads a request and closes owes its answer; one that closes unread does not.
+#[test]
+fn closed_and_reset_connections_are_told_apart() {
+    for reads in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let plan = Plan { pilots: 1, ..Plan::draw(1, 8.0) };
+        let shared = Shared::new(plan.clone(), Recorder::start(), vec![listener.local_addr().unwrap()]);
+        shared.pilots[0].1.store(0, Ordering::SeqCst);
+        // The fourth of the strangers asks for a sign of life.
+        let client = std::thread::spawn({
+            let shared = shared.clone();
+            move || stranger(shared, 3)
+        });
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.peek(&mut [0; 64]).unwrap();
+        if reads {
+            let mut request = String::new();
+            BufReader::new(&mut stream).read_line(&mut request).unwrap();
+        }
+        drop(stream);
+        // It dials again once it has seen the end.
+        let _again = listener.accept().unwrap();
+        shared.over.store(true, Ordering::SeqCst);
+        client.join().unwrap();
+        let found = check(&plan, &shared.recorder.take());
+        let unanswered = matches!(found[..], [Violation::Unanswered { requests: 1, .. }]);
+        assert_eq!(unanswered, reads, "{found:?}");
+    }
+}
+
 /// A kill without notice may take answers with it, and no other end.
 #[test]
 fn a_kill_without_notice_excuses_unanswered_requests() {
