--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -15,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub struct Options {
     pub realm: Realm,
@@ -30,6 +30,9 @@
 
 /// Between looks whether the pilot still runs.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const LOOK_AGAIN_SOON: Duration = Duration::from_millis(5);
+/// From SIGTERM to the kill: the page's earliest.
+const EARLIEST_KILL: Duration = Duration::from_millis(700);
 /// Tables that a hand reaches for; more than small fleets have.
 const TABLES: u8 = 12;
 
@@ -39,6 +42,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Why the day is not to go on, beside the end of the present process.
+    trouble: Option<String>,
 }
 
 impl Pilot {
@@ -97,8 +102,11 @@
         told.ok().and_then(|told| serde_json::from_slice(&told.stdout).ok()).unwrap_or_default()
     }
 
-    /// What it said last, where it has ended unbidden.
+    /// What it said last, where it has ended unbidden, or has not ended as it should.
     fn ended(&mut self) -> Option<String> {
+        if let Some(trouble) = self.trouble.take() {
+            return Some(trouble);
+        }
         let status = self.child.as_mut()?.try_wait().ok()??;
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
         let last = log.lines().last().unwrap_or("nothing").to_string();
@@ -139,7 +147,7 @@
     let text = options.realm.settings(&script, &cache.to_string_lossy()).to_string();
     std::fs::write(&settings, text).map_err(|e| told(&settings, e))?;
     let log = options.folder.join("pilot.log");
-    let pilot = Pilot { program: options.program.clone(), settings, log, child: None };
+    let pilot = Pilot { program: options.program.clone(), settings, log, child: None, trouble: None };
 
     let executor = Rc::new(LocalExecutor::new());
     let world = World::new(script, options.realm, options.instead, executor.clone());
@@ -302,7 +310,32 @@
     }
 }
 
+/// Asks the pilot to end while everybody goes on, and kills it where it runs at the earliest kill; that, or another
+/// status than 0, ends the day.
+async fn end_pilot(world: &World, pilot: &RefCell<Pilot>) {
+    let Some(mut child) = pilot.borrow_mut().child.take() else { return };
+    world.record.note(Event::PilotKilled);
+    let _ = kill_process(Pid::from_child(&child), Signal::TERM);
+    let asked = Instant::now();
+    let status = loop {
+        match child.try_wait() {
+            Ok(None) if asked.elapsed() < EARLIEST_KILL => Timer::after(LOOK_AGAIN_SOON).await,
+            Ok(status) => break status,
+            Err(_) => break None,
+        };
+    };
+    let _ = child.kill();
+    let _ = child.wait();
+    if !status.is_some_and(|status| status.success()) {
+        let how = status.map_or("still ran at the earliest kill".to_string(), |status| status.to_string());
+        pilot.borrow_mut().trouble = Some(format!("the pilot was asked to end: {how}"));
+    }
+}
+
 async fn strike(world: &Rc<World>, pilot: &RefCell<Pilot>, fault: &Fault) {
+    if fault.kind == Kind::PilotEnds {
+        end_pilot(world, pilot).await;
+    }
     let hit = |zone: u8| fault.zone.is_none_or(|hit| hit == zone);
     let servers: Vec<Rc<Server>> = world.servers.borrow().iter().filter(|s| hit(s.zone)).cloned().collect();
     let count = (servers.len() as f64 * fault.part).ceil() as usize;
@@ -340,7 +373,8 @@
                 pilot.borrow_mut().kill();
                 world.record.note(Event::PilotKilled);
             }
-            Kind::PilotDies => {
+            Kind::PilotEnds if on => {}
+            Kind::PilotDies | Kind::PilotEnds => {
                 if pilot.borrow_mut().start(world.script.seed + 1).is_ok() {
                     world.record.note(Event::PilotStarted);
                 }
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -17,7 +17,7 @@
 
 /// Whether the script kept answers from askers at some time in a span.
 fn starved(script: &Script, from: f64, to: f64) -> bool {
-    let keeps = |kind: &Kind| matches!(kind, Kind::DnsLost | Kind::PilotDies);
+    let keeps = |kind: &Kind| matches!(kind, Kind::DnsLost | Kind::PilotDies | Kind::PilotEnds);
     script.faults.iter().any(|f| keeps(&f.kind) && f.at < to && f.at + f.lasts + BEFORE > from)
 }
 
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -92,6 +92,9 @@
         /// Runs played at once.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=8))]
         at_once: u8,
+        /// The protocol: the platform's where it is left out; on the others, days of the demo's fleet are judged.
+        #[arg(long, value_enum)]
+        front: Option<script::Front>,
         /// The pilot's program; left out, the one beside this program.
         #[arg(long)]
         pilot: Option<PathBuf>,
@@ -201,19 +204,17 @@
 }
 
 impl Child {
-    fn start(script: &Script, seed: u64, realm: u8, place: &Place) -> Result<Child, String> {
-        let mut script = script.clone();
-        script.seed = seed;
-        script.faults = many::faults(&mut fastrand::Rng::with_seed(seed), script.zones, script.seconds);
+    fn start(script: &Script, realm: u8, pilot: Option<&PathBuf>) -> Result<Child, String> {
+        let seed = script.seed;
         let named =
             |what| std::env::temp_dir().join(format!("oatlever-{}-{seed}.{what}", std::process::id()));
         let (written, record) = (named("script"), named("record"));
-        let text = serde_json::to_string(&script).map_err(|e| e.to_string())?;
+        let text = serde_json::to_string(script).map_err(|e| e.to_string())?;
         std::fs::write(&written, text).map_err(|e| format!("{}: {e}", written.display()))?;
         let mut command = std::process::Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
         command.arg("day").arg(&written).arg("--record").arg(&record).args(["--realm", &realm.to_string()]);
         command.arg("--end-with-input").stdin(std::process::Stdio::piped());
-        if let Some(pilot) = &place.pilot {
+        if let Some(pilot) = pilot {
             command.arg("--pilot").arg(pilot);
         }
         let process = command.stdout(std::process::Stdio::null()).spawn().map_err(|e| e.to_string())?;
@@ -233,6 +234,46 @@
     }
 }
 
+/// Realms of soaked days, apart from those of others.
+const SOAK_REALM: u8 = 2;
+
+/// Plays days of restarts on a front; returns whether all rules were kept and every pilot ended as it should.
+fn soak_days(
+    seeds: std::ops::Range<u64>,
+    seconds: f64,
+    at_once: u8,
+    front: script::Front,
+    program: &PathBuf,
+) -> Result<bool, String> {
+    let seeds: Vec<u64> = seeds.collect();
+    let mut failed = 0;
+    for some in seeds.chunks(usize::from(at_once)) {
+        let days = (SOAK_REALM..).zip(some).map(|(realm, seed)| {
+            let mut script = Script::read(DEMO)?;
+            let faults = many::restarts(&mut fastrand::Rng::with_seed(*seed), script.zones, seconds);
+            script = Script { seed: *seed, seconds, relays_by: front, faults, ..script };
+            Ok((*seed, Child::start(&script, realm, Some(program))?))
+        });
+        for (seed, day) in days.collect::<Result<Vec<(u64, Child)>, String>>()? {
+            let outcome = day.end().map(|(script, entries)| judge::judge(&script, &entries));
+            let kept = outcome.as_ref().is_ok_and(|verdict| verdict.broken.is_empty());
+            match outcome {
+                Ok(verdict) => {
+                    println!("seed {seed:4}  service {:.3}  broken {:?}", verdict.service(), verdict.broken)
+                }
+                Err(what) => println!("seed {seed:4}  {what}"),
+            }
+            if !kept {
+                let front = format!("{front:?}").to_lowercase();
+                println!("    again: oatlever-standins soak --front {front} --first-seed {seed} --runs 1 --seconds {seconds}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{} days, {failed} failed", seeds.len());
+    Ok(failed == 0)
+}
+
 fn read(path: &Path) -> Result<Script, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     Script::read(&text).map_err(|e| format!("{}: {e}", path.display()))
@@ -267,7 +308,12 @@
             let (mut tally, mut kept) = (Tally::default(), true);
             for seeds in seeds.chunks(usize::from(at_once.max(1))) {
                 let realms = (place.realm..).zip(seeds);
-                let days = realms.map(|(realm, seed)| Child::start(&script, *seed, realm, &place));
+                let days = realms.map(|(realm, seed)| {
+                    let mut chance = fastrand::Rng::with_seed(*seed);
+                    let faults = many::faults(&mut chance, script.zones, script.seconds);
+                    let script = Script { seed: *seed, faults, ..script.clone() };
+                    Child::start(&script, realm, place.pilot.as_ref())
+                });
                 for day in days.collect::<Result<Vec<Child>, String>>()? {
                     let (script, entries) = day.end()?;
                     let verdict = judge::judge(&script, &entries);
@@ -283,9 +329,12 @@
             }
             Ok(kept)
         }
-        Command::Soak { runs, first_seed, seconds, at_once, pilot } => {
-            let program = program(pilot.as_ref())?;
-            soaking::soak(first_seed..first_seed + runs, seconds, usize::from(at_once), &program)
+        Command::Soak { runs, first_seed, seconds, at_once, front, pilot } => {
+            let (program, seeds) = (program(pilot.as_ref())?, first_seed..first_seed + runs);
+            match front {
+                None => soaking::soak(seeds, seconds, usize::from(at_once), &program),
+                Some(front) => soak_days(seeds, seconds, at_once, front, &program),
+            }
         }
         Command::Costs { record, page } => {
             let (script, entries) = recorded(&record)?;
--- a/standins/src/many.rs
+++ b/standins/src/many.rs
@@ -43,6 +43,28 @@
     (0..count).map(fault).collect()
 }
 
+/// Restarts of the pilot drawn by chance, with servers that start cold or a list that fails beside some of them.
+pub fn restarts(chance: &mut fastrand::Rng, zones: u8, seconds: f64) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut at = 1.0 + chance.f64();
+    while at < seconds - 4.0 {
+        let lasts = 0.2 + chance.f64();
+        let kind = if chance.u8(..3) == 0 { Kind::PilotDies } else { Kind::PilotEnds };
+        faults.push(Fault { at, lasts, kind, zone: None, part: 1.0 });
+        let beside = match chance.u8(..6) {
+            0 => Some(Kind::Restart),
+            1 => Some(Kind::Drain),
+            2 => Some(Kind::RosterDown),
+            3 => Some(Kind::RelaysDie),
+            _ => None,
+        };
+        let zone = chance.bool().then(|| chance.u8(..zones));
+        faults.extend(beside.map(|kind| Fault { at: at + 0.5 * chance.f64(), lasts, kind, zone, part: 0.5 }));
+        at += lasts + 2.5 + chance.f64();
+    }
+    faults
+}
+
 /// Findings by check: how many there were, and how many of them nothing bore out.
 #[derive(Debug, Default)]
 pub struct Tally {
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -158,6 +158,8 @@
     ListCut,
     RelaysDie,
     PilotDies,
+    /// The pilot is asked to end, killed at the earliest after that, and started again at the end.
+    PilotEnds,
     DnsLost,
     DnsLate(f64),
     ScrapesHang,
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -7,6 +7,7 @@
 use oatlever_standins::soak::record::{Ending, Entry, Event, Exit, Recorder, Table};
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
+use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::Ordering;
 
@@ -207,13 +208,40 @@
     assert!(matches!(held(|_| 4000, |_| 900)[..], [Violation::OverLimit { .. }, ..]));
 }
 
+fn soaked(arguments: &[&str]) -> (Option<i32>, String) {
+    let played =
+        Command::new(env!("CARGO_BIN_EXE_oatlever-standins")).arg("soak").args(arguments).output().unwrap();
+    let said = String::from_utf8_lossy(&played.stdout) + String::from_utf8_lossy(&played.stderr);
+    (played.status.code(), said.into_owned())
+}
+
 /// Half a minute of the soak; the long one is played by hand.
 #[test]
 fn seeded_runs_of_restarts_keep_their_promises() {
-    let played = Command::new(env!("CARGO_BIN_EXE_oatlever-standins"))
-        .args(["soak", "--runs", "6", "--first-seed", "1", "--seconds", "9", "--at-once", "2"])
-        .output()
-        .unwrap();
-    let said = String::from_utf8_lossy(&played.stdout) + String::from_utf8_lossy(&played.stderr);
-    assert_eq!(played.status.code(), Some(0), "{said}");
+    let (status, said) = soaked(&["--runs", "6", "--seconds", "9", "--at-once", "2"]);
+    assert_eq!(status, Some(0), "{said}");
+}
+
+/// The same on DNS and on both variants of xDS.
+#[test]
+fn seeded_days_of_restarts_keep_the_rules() {
+    let (status, said) = soaked(&["--front", "all", "--runs", "2", "--seconds", "10", "--at-once", "2"]);
+    assert_eq!(status, Some(0), "{said}");
+}
+
+/// A pilot that ends with another status than 0 when it is asked to fails the day, which is told with its command.
+#[cfg(unix)]
+#[test]
+fn a_day_whose_pilot_ends_badly_fails() {
+    use std::os::unix::fs::PermissionsExt;
+    let pilot = Path::new(env!("CARGO_BIN_EXE_oatlever-standins")).with_file_name("oatlever");
+    let wrapped = std::env::temp_dir().join(format!("oatlever-soak-bad-{}", std::process::id()));
+    let script = format!("#!/bin/sh\ntrap 'exit 3' TERM\n{} \"$@\" <&0 &\nwait\n", pilot.display());
+    std::fs::write(&wrapped, script).unwrap();
+    std::fs::set_permissions(&wrapped, std::fs::Permissions::from_mode(0o755)).unwrap();
+    let (status, said) =
+        soaked(&["--front", "dns", "--runs", "1", "--seconds", "10", "--pilot", wrapped.to_str().unwrap()]);
+    std::fs::remove_file(&wrapped).unwrap();
+    assert_eq!(status, Some(1), "{said}");
+    assert!(said.contains("a day ended with exit status: 2") && said.contains("again: "), "{said}");
 }
