Sample a pilot's memory and descriptors only once it is the pilot

Between fork and exec it is a copy of the soak itself, with the soak's descriptors. It is sampled once its program is the pilot's; the check stays.

--- a/standins/src/soak/play.rs
+++ b/standins/src/soak/play.rs
@@ -180,6 +180,10 @@
             // One that is being restarted has nothing to tell.
             let Ok(pilot) = pilot.try_lock() else { continue };
             let Some((life, child)) = &pilot.child else { continue };
+            // Until it has become the pilot, a process is a copy of this one, with all that this one holds.
+            if !is_program(child.id(), &pilot.program) {
+                continue;
+            }
             if let Some((memory, descriptors)) = holds(child.id()) {
                 self.shared.recorder.note(Event::Holds { life: *life, memory, descriptors });
             }
@@ -187,6 +191,11 @@
     }
 }
 
+fn is_program(process: u32, program: &Path) -> bool {
+    let runs = std::fs::read_link(format!("/proc/{process}/exe"));
+    runs.is_ok_and(|runs| program.canonicalize().is_ok_and(|program| runs == program))
+}
+
 /// Memory in KiB and open descriptors of a process; none where the system does not tell.
 fn holds(process: u32) -> Option<(u64, u64)> {
     let folder = Path::new("/proc").join(process.to_string());
