Give the storm of streams a patience that is not what it tries

a_storm_of_streams_ends_with_everybody_current ran out of time on a busy machine. Beside 64 busy loops three runs of six failed: all 480 clients panicked as their streams were broken or ended. They share one thread with the front, which ends streams whose proxies owe an answer for 0.6 s, a figure that other tests chose to be short; with 10 s six of six passed.

--- a/xds/tests/front/harness.rs
+++ b/xds/tests/front/harness.rs
@@ -120,7 +120,12 @@
 
 /// A front with two tables of two servers each, and what is to be done with it.
 pub fn play<F: Future<Output = ()>>(with: impl FnOnce(Rc<Play>) -> F) {
-    play_with(None, Grants::default(), with);
+    play_for(PATIENCE, None, Grants::default(), with);
+}
+
+/// The same where proxies may owe an answer for as long as a step of a test may take.
+pub fn play_patiently<F: Future<Output = ()>>(with: impl FnOnce(Rc<Play>) -> F) {
+    play_for(LONG.as_secs_f64(), None, Grants::default(), with);
 }
 
 /// The same over TLS, with grants.
@@ -128,6 +133,15 @@
     keys: Option<Keys>,
     grants: Grants,
     with: impl FnOnce(Rc<Play>) -> F,
+) {
+    play_for(PATIENCE, keys, grants, with);
+}
+
+fn play_for<F: Future<Output = ()>>(
+    patience: f64,
+    keys: Option<Keys>,
+    grants: Grants,
+    with: impl FnOnce(Rc<Play>) -> F,
 ) {
     let executor = Rc::new(LocalExecutor::new());
     let changed = Rc::new(Event::new());
@@ -151,7 +165,7 @@
         }
     });
     let class = |name: &str, once| Class { name: name.into(), once };
-    let limits = Limits { patience: PATIENCE, most_bytes: 1 << 16, connections: 600, report_period: 0.1 };
+    let limits = Limits { patience, most_bytes: 1 << 16, connections: 600, report_period: 0.1 };
     let classes = vec![class("search", false), class("reserve", true)];
     let shared = Shared::new(book.clone(), classes, limits, changed, 9, keys);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/xds/tests/front/streams.rs
+++ b/xds/tests/front/streams.rs
@@ -1,6 +1,6 @@
 //! The front on loopback, against clients that behave and clients that do not.
 
-use crate::harness::{decode, endpoints, play, request, server, url, Call, State, PATIENCE};
+use crate::harness::{decode, endpoints, play, play_patiently, request, server, url, Call, State, PATIENCE};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use hyper::body::Bytes;
@@ -237,9 +237,13 @@
 }
 
 /// 480 proxies dial within a moment; each ends with the last version, by ACK.
+///
+/// They share one thread with the front. With the 0.6 s that other tests let proxies owe an answer, the front ended most
+/// of them on a busy machine, as it should: beside 64 busy loops three runs of six failed, each with 480 streams broken
+/// or ended; with 10 s none of six did. How late a proxy may be is not what is tried here.
 #[test]
 fn a_storm_of_streams_ends_with_everybody_current() {
-    play(|play| async move {
+    play_patiently(|play| async move {
         let all = (0..480).map(|n| {
             let of = play.clone();
             play.executor.spawn(async move {
