--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/desk.rs
@@ -283,7 +283,8 @@
         for note in chores.notes {
             tracing::info!(note);
         }
-        if !messages.is_empty() {
+        // Between reports demand fades and says less; without anybody to write to there is none to fade.
+        if !messages.is_empty() || !self.publisher.serves() {
             self.beliefs = self.balancer.beliefs(now);
         }
         let due = |server| Some((server, self.register.process(server)?));
--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -695,6 +695,20 @@
     pilot.logged("serves again");
 }
 
+/// A pilot that nobody has joined tells of the servers that it has listed.
+///
+/// What operators saw: pilots that were back after a kill, with nobody to serve, told `beliefs` of zeros for the rest of
+/// the day with 200 servers listed, as beliefs were taken only where messages were written.
+#[test]
+fn a_pilot_that_nobody_has_joined_tells_what_it_believes() {
+    let discovery = discovery(&[("s-1", "up"), ("s-2", "up")]);
+    let mut known = configuration(discovery.host, 64);
+    known["known"]["servers"] = json!([]);
+    let pilot = Pilot::start("beliefs", &known);
+    let told = pilot.logged("so far")["beliefs"].to_string();
+    assert!(told.contains("ready: 2,"), "{told}");
+}
+
 /// Guards against a second thread, which a machine of part of a core has no use for and which has to take
 /// turns with the first one as both start.
 #[cfg(target_os = "linux")]
