Name the admission limit and typed results in the module; behaviour as before

Line is Admission (admitted, observed_capacity); a table that is wanted, its changes and the level of a class are types of their own in src/state.rs in place of tuples, and a level that was never ordered is none rather than no number.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,7 +10,9 @@
     Address, Beliefs, Channel, Levels, List, ListNews, Plan, QueryClass, Readiness, Round, Rules, Site,
     Tries, Writer, MARK_LINES, NO_LIMIT, NO_RETRY, ONCE_UNRUN,
 };
-use crate::state::{Change, Line, Proxy, Queue, Server, Table, Times};
+use crate::state::{
+    Admission, Change, ColdBudget, Level, Proxy, Queue, Server, Table, TableChanges, Times, WantedTable,
+};
 use crate::sums::{least, median, seconds_held, weighted_median};
 use std::collections::BTreeMap;
 
@@ -70,7 +72,7 @@
 /// Times its size; a server moves to another group where that much is missing.
 const UNEVEN: f64 = 1.5;
 /// Part of a table's queries; a line for less is not worth a connection.
-const LEAST_LINE: f64 = 1e-4;
+const LEAST_ENTRY: f64 = 1e-4;
 /// Part; smallest move of a weight that is sent (design).
 const MOVED: f64 = 0.1;
 /// Part of the multiple at which a cold server falls over that it is given: a third, as reports are late.
@@ -91,31 +93,23 @@
 const ACKNOWLEDGE_SPAN: f64 = 5.0;
 /// Part of a message cap that ordinary weights may use.
 const ORDINARY_MESSAGES: f64 = 0.6;
-/// Part; the pressure (the usual server's time, failures counted, over the due time) where the line falls.
+/// Part; the pressure (the usual server's time, failures counted, over the due time) where the admission limit falls.
 const LATE: f64 = 0.4;
-/// Part; the pressure below which the line rises.
+/// Part; the pressure below which it rises.
 const EASY: f64 = 0.35;
-/// s; how far what is measured trails the line: the span of the sums and the way of the reports.
-const LINE_SPAN: f64 = 6.0;
+/// s; how far what is measured trails the admission limit: the span of the sums and the way of the reports.
+const ADMISSION_SPAN: f64 = 6.0;
 /// Part of what the fleet answers that is let in while the pressure is high, so that queues drain.
-const LINE_FALL: f64 = 0.95;
+const ADMISSION_FALL: f64 = 0.95;
 /// Times; the rise of what is let in, in one cycle with little pressure.
-const LINE_RISE: f64 = 1.1;
-/// Part of the rate the fleet has proven that is let in even under pressure.
-const LINE_LEAST: f64 = 0.5;
+const ADMISSION_RISE: f64 = 1.1;
+/// Part of the observed capacity that is let in even under pressure.
+const ADMISSION_LEAST: f64 = 0.5;
 /// Part; levels are sent in steps of this size.
 const LEVEL_STEP: f64 = 0.05;
 /// Requests a second of a proxy that has told no rate, until its usage is reported; only ratios matter then.
 const UNKNOWN_RATE: f64 = 1.0;
 
-/// What the limits of cold servers go by at one moment.
-struct ColdBudget {
-    /// Requests a second that a unit of size carries.
-    carried_by_size: f64,
-    /// Size of most servers.
-    usual_size: f64,
-}
-
 pub struct Balancer {
     site: Site,
     classes: Vec<QueryClass>,
@@ -132,7 +126,7 @@
     /// Groups that each server is in.
     seats: usize,
     queue: Queue,
-    line: Line,
+    admission: Admission,
     /// When it came, and the plan.
     plan: Option<(f64, Plan)>,
     times: Times,
@@ -180,7 +174,7 @@
     plan.parts.iter().map(flow).collect()
 }
 
-/// Levels by class: the line lets in this part of all queries, the most beneficial classes first. Where no
+/// Levels by class: this part of all queries is let in, the most beneficial classes first. Where no
 /// usage by class is known, the part is let in of each: without it, everything would be let in.
 pub fn levels(line: f64, benefit: &[f64], demand: &[f64]) -> Vec<f64> {
     if demand.iter().all(|class| *class <= 0.0) {
@@ -216,7 +210,7 @@
             crowding,
             seats: 1,
             queue: Queue::default(),
-            line: Line::default(),
+            admission: Admission::default(),
             plan: None,
             times: Times::default(),
         }
@@ -271,7 +265,7 @@
             if self.times.heard_at.is_none_or(|at| at > self.times.last_cycle) {
                 self.move_trust(now);
                 self.move_crowding(now);
-                self.move_line(now);
+                self.move_admission(now);
             }
             self.times.last_cycle = now;
             self.times.next_cycle = now + self.cycle() * OVERDUE;
@@ -303,8 +297,8 @@
         };
         Beliefs {
             demand: self.demand(false, now).iter().sum(),
-            let_in: self.line.part,
-            pressure: self.line.pressure,
+            let_in: self.admission.admitted,
+            pressure: self.admission.pressure,
             ready: count(&|_| true),
             cold: count(&|s| self.is_cold(s, now)),
             distrusted: count(&|s| s.trust < DISTRUSTED),
@@ -361,7 +355,7 @@
             server.gone_at = server.gone_at.or(Some(now)).filter(|_| gone);
         }
         let listed: f64 = self.by_zone(|s| s.size).iter().sum();
-        self.line.most_listed = self.line.most_listed.max(listed);
+        self.admission.most_listed = self.admission.most_listed.max(listed);
     }
 
     /// Deals servers and proxies to groups; each group has a table for each zone, of its own servers.
@@ -489,8 +483,8 @@
     /// are cold there are none. It is not remembered: of a short list, each would count as strong as the fleet.
     fn carried_by_size(&self, now: f64) -> f64 {
         let listed: f64 = self.by_zone(|s| s.size).iter().sum();
-        let listed = listed.max(self.line.most_listed * SHORT_LIST).max(f64::MIN_POSITIVE);
-        self.line.proven.max(self.usual_demand(now) / listed)
+        let listed = listed.max(self.admission.most_listed * SHORT_LIST).max(f64::MIN_POSITIVE);
+        self.admission.observed_capacity.max(self.usual_demand(now) / listed)
     }
 
     /// Trust falls at once to what a server deserves and comes back step by step, in cycles that brought
@@ -550,20 +544,20 @@
         }
     }
 
-    /// The line of benefit falls while answers come late or not at all, and rises again after. A failed try
+    /// The admission limit falls while answers come late or not at all, and rises again after. A failed try
     /// counts as one that took the whole due time: a jammed fleet refuses quickly.
-    fn move_line(&mut self, now: f64) {
+    fn move_admission(&mut self, now: f64) {
         let usual: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.rate).sum();
         // Guards against refusing the queries of proxies that come over from another pilot: they bring their
         // part of the load with them, and what was answered so far is of those before them. The same part
         // is let in until their reports tell more; harms where they bring an overload of their own.
-        let grown = if self.line.usual.min(usual) > 0.0 { usual / self.line.usual } else { 1.0 };
-        self.line.usual = usual;
-        self.line.limit *= grown;
+        let grown = if self.admission.usual.min(usual) > 0.0 { usual / self.admission.usual } else { 1.0 };
+        self.admission.usual = usual;
+        self.admission.limit *= grown;
         if grown > 1.0 + MOVED {
-            self.line.grown_at = Some(now);
+            self.admission.grown_at = Some(now);
         }
-        let sure = self.line.grown_at.is_none_or(|at| now - at > SETTLED);
+        let sure = self.admission.grown_at.is_none_or(|at| now - at > SETTLED);
         let answers: f64 = self.servers.values().map(|s| s.answers.read(now)).sum();
         let failed: f64 = self.servers.values().map(|s| s.failed.read(now)).sum();
         let weight: f64 = self.by_zone(|s| s.size * self.warm_part(s, now)).iter().sum();
@@ -577,29 +571,32 @@
             let part = (s.time.read(now) / due + failed) / (answers + failed).max(f64::MIN_POSITIVE);
             (part, s.trust.min(1.0))
         });
-        self.line.pressure = weighted_median(each.collect()).unwrap_or(0.0);
+        self.admission.pressure = weighted_median(each.collect()).unwrap_or(0.0);
         let Some(since) = self.times.first_heard else { return };
         let period = self.site.report_period;
         let span = seconds_held(SERVER_SPAN, period, now - since + period);
         let (answered, offered) = (answers / span, self.demand(false, now).iter().sum::<f64>());
         if weight > 0.0 {
-            self.line.proven = self.line.proven.max(answered / weight);
-        }
-        self.line.met = (answers + failed) / span;
-        if self.line.pressure > LATE && sure {
-            let least = LINE_LEAST * self.carried_by_size(now) * weight;
-            self.line.limit = self.line.limit.min(offered).min((answered * LINE_FALL).max(least));
-        } else if self.line.pressure < EASY {
+            self.admission.observed_capacity = self.admission.observed_capacity.max(answered / weight);
+        }
+        self.admission.met = (answers + failed) / span;
+        if self.admission.pressure > LATE && sure {
+            let least = ADMISSION_LEAST * self.carried_by_size(now) * weight;
+            self.admission.limit =
+                self.admission.limit.min(offered).min((answered * ADMISSION_FALL).max(least));
+        } else if self.admission.pressure < EASY {
             // What grows while nothing is refused and nothing is late is no overload.
-            self.line.limit *= if self.line.part < 1.0 { LINE_RISE } else { f64::INFINITY };
+            self.admission.limit *=
+                if self.admission.admitted < 1.0 { ADMISSION_RISE } else { f64::INFINITY };
         }
         // Refused clients come again and are refused again: what is offered grows with refusing, and what
-        // was let in, over the line of that time, tells how many there are to begin with.
-        self.line.held += (self.line.part - self.line.held) * (self.cycle() / LINE_SPAN).min(1.0);
-        let first = (self.line.met / self.line.held).min(offered);
-        let clients = (first + (offered - first) * self.line.held).max(1.0);
-        self.line.limit = self.line.limit.clamp(1.0, clients * LINE_RISE);
-        self.line.part = (self.line.limit / clients).min(1.0);
+        // was let in, over the admitted part of that time, tells how many there are to begin with.
+        self.admission.held +=
+            (self.admission.admitted - self.admission.held) * (self.cycle() / ADMISSION_SPAN).min(1.0);
+        let first = (self.admission.met / self.admission.held).min(offered);
+        let clients = (first + (offered - first) * self.admission.held).max(1.0);
+        self.admission.limit = self.admission.limit.clamp(1.0, clients * ADMISSION_RISE);
+        self.admission.admitted = (self.admission.limit / clients).min(1.0);
     }
 
     /// How much of its capacity a crowded zone counts: it moves towards the fleet's mean of queries in
@@ -646,7 +643,7 @@
     }
 
     /// The lines of each table, and the part of its queries that may be let in on them.
-    fn wanted_lines(&self, demand: &[f64], now: f64) -> Vec<(BTreeMap<Address, f64>, f64)> {
+    fn wanted_tables(&self, demand: &[f64], now: f64) -> Vec<WantedTable> {
         let zones = self.site.zones;
         let blind = self.times.heard_at.is_none_or(|at| now - at > STALE);
         let plan = self.plan.as_ref().filter(|(at, plan)| now - at <= STALE && plan.parts.len() == zones);
@@ -675,14 +672,15 @@
             for (address, server) in members {
                 let part = server.weight * server.trust / parts[server.zone];
                 for (zone, flow) in flows.iter().enumerate() {
-                    if flow[server.zone] * part > LEAST_LINE {
+                    if flow[server.zone] * part > LEAST_ENTRY {
                         wanted[group * zones + zone].insert(address, flow[server.zone] * part);
                     }
                 }
             }
         }
         let placed = self.spare_the_cold(&mut wanted, now);
-        wanted.into_iter().zip(placed).collect()
+        let table = |(weights, placed)| WantedTable { weights, placed };
+        wanted.into_iter().zip(placed).map(table).collect()
     }
 
     /// Whether reports have come for long enough to go by them.
@@ -708,12 +706,12 @@
     /// Guards cold servers against being pushed over: whatever trust and flows say, none gets more than its
     /// budget, and what is taken from it goes to the group's warm servers of any zone. Where there are
     /// none, less is let in. Should help whenever warm servers lose trust together or a zone's demand is
-    /// not known yet; could harm where the proven rate is far under what servers can do, then a return
+    /// not known yet; could harm where the observed capacity is far under what servers can do, then a return
     /// takes longer. Returns the part that tables still place.
     fn spare_the_cold(&self, wanted: &mut [BTreeMap<Address, f64>], now: f64) -> Vec<f64> {
         let demand = self.demand(true, now);
         let all: f64 = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let scale = all.max(self.line.met) / all;
+        let scale = all.max(self.admission.met) / all;
         let budget = self.cold_budget(now);
         for (address, server) in self.servers.iter().filter(|(_, s)| s.is_ready() && self.is_cold(s, now)) {
             let sent =
@@ -734,7 +732,7 @@
             let warm: Vec<_> = own.map(|(address, s)| (*address, s.weight * s.trust)).collect();
             let all: f64 = warm.iter().map(|(_, part)| part).sum();
             certain.push(if warm.is_empty() { placed } else { 1.0 });
-            for (address, part) in warm.into_iter().filter(|w| (1.0 - placed) * w.1 / all > LEAST_LINE) {
+            for (address, part) in warm.into_iter().filter(|w| (1.0 - placed) * w.1 / all > LEAST_ENTRY) {
                 *lines.entry(address).or_insert(0.0) += (1.0 - placed) * part / all;
             }
         }
@@ -742,7 +740,7 @@
     }
 
     /// Level and retry mode of each class, for the proxies of a table.
-    fn wanted_levels(&self, place: usize, placed: f64, now: f64) -> Vec<(f64, u8)> {
+    fn wanted_levels(&self, place: usize, placed: f64, now: f64) -> Vec<Level> {
         let came = |place: Option<usize>, class: usize| -> f64 {
             let here = |p: &&Proxy| p.joined && place.is_none_or(|at| self.place(p) == at);
             self.proxies.values().filter(here).filter_map(|p| p.came.get(class)).map(|c| c.read(now)).sum()
@@ -751,7 +749,8 @@
         let benefit: Vec<f64> = self.classes.iter().map(|c| c.benefit).collect();
         // A second try helps against a few bad servers and feeds a jam; the first reports, of what was
         // answered soonest, do not tell the two apart.
-        let mode = if self.is_settled(now) && self.line.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
+        let retry =
+            if self.is_settled(now) && self.admission.pressure < LATE { ONCE_UNRUN } else { NO_RETRY };
         // Little that may be let in is not rounded to nothing: below one step, it goes by halves of it.
         let step = |level: f64| match level / LEVEL_STEP {
             steps if steps > 0.0 && steps < 1.0 => LEVEL_STEP * steps.log2().floor().exp2(),
@@ -764,14 +763,14 @@
             // Before usage is reported a proxy may bring its rate in any class.
             false => self.demand(true, now)[place] / demand.len() as f64,
         };
-        let levels = levels(self.line.part.min(placed), &benefit, &demand).into_iter().enumerate();
+        let levels = levels(self.admission.admitted.min(placed), &benefit, &demand).into_iter().enumerate();
         let levels = levels.map(|(class, level)| match self.site.levels {
             Levels::Share => step(level),
             Levels::Rate if level < 1.0 => (level * offered(class) / here).ceil(),
             Levels::Rate => NO_LIMIT,
             Levels::Ignored => 1.0,
         });
-        levels.map(|level| (level, mode)).collect()
+        levels.map(|admitted| Level { admitted, retry }).collect()
     }
 
     /// Whether a message may be written to the proxy now.
@@ -865,7 +864,7 @@
         &mut self,
         place: usize,
         changes: Vec<Change>,
-        levels: Vec<(f64, u8)>,
+        levels: Vec<Level>,
         now: f64,
         out: &mut dyn Writer,
     ) {
@@ -874,13 +873,13 @@
         let users: Vec<u16> = users.map(|(id, _)| *id).collect();
         let must = changes.iter().filter(|c| c.must).count();
         let held = &self.tables[place].levels;
-        let turns = (0..levels.len()).filter(|class| held.get(*class) != Some(&levels[*class]));
+        let turns = (0..levels.len()).filter(|class| held.get(*class) != Some(&Some(levels[*class])));
         let mut turns: Vec<usize> = turns.collect();
         // A level that falls can't wait behind weights.
-        let open = if self.site.levels == Levels::Rate { NO_LIMIT } else { 1.0 };
-        let before = |class: usize| held.get(class).copied().filter(|l| !l.0.is_nan()).unwrap_or((open, 0));
-        let falls =
-            |class: &usize| levels[*class].0 < before(*class).0 || levels[*class].1 < before(*class).1;
+        let admitted = if self.site.levels == Levels::Rate { NO_LIMIT } else { 1.0 };
+        let open = Level { admitted, retry: NO_RETRY };
+        let before = |class: usize| held.get(class).copied().flatten().unwrap_or(open);
+        let falls = |class: &usize| levels[*class].falls_from(before(*class));
         let urgent_lines = must + turns.iter().filter(|class| falls(class)).count();
         turns.sort_by_key(|class| !falls(class));
         let (most, waiting) = (self.channel.most_waiting, self.queue.waiting());
@@ -906,10 +905,10 @@
             held.lines.insert(change.server, change.weight);
         }
         held.lines.retain(|_, weight| *weight > 0.0);
-        held.levels.resize(levels.len(), (f64::NAN, NO_RETRY));
+        held.levels.resize(levels.len(), None);
         for class in turns.into_iter().take(fit.saturating_sub(kept)) {
-            held.levels[class] = levels[class];
-            out.admit(table, 1 << class, levels[class].0, levels[class].1);
+            held.levels[class] = Some(levels[class]);
+            out.admit(table, 1 << class, levels[class].admitted, levels[class].retry);
         }
     }
 
@@ -917,16 +916,16 @@
     /// proxies that hold none yet.
     fn send_tables(&mut self, cycle: bool, now: f64, out: &mut dyn Writer) {
         let demand = self.demand(false, now);
-        let wanted = self.wanted_lines(&demand, now);
-        let mut tables: Vec<(bool, f64, usize, Vec<Change>)> = Vec::new();
-        for (place, (lines, _)) in wanted.iter().enumerate() {
-            let changes = self.changes(place, lines, now);
+        let wanted = self.wanted_tables(&demand, now);
+        let mut tables = Vec::new();
+        for (place, WantedTable { weights, .. }) in wanted.iter().enumerate() {
+            let changes = self.changes(place, weights, now);
             let moved = changes.iter().map(|c| c.moved).sum::<f64>() * demand[place];
-            tables.push((changes.iter().any(|c| c.must), moved, place, changes));
+            tables.push(TableChanges { place, must: changes.iter().any(|c| c.must), moved, changes });
         }
-        tables.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        for (_, _, place, changes) in tables.into_iter().filter(|(must, ..)| cycle || *must) {
-            let levels = self.wanted_levels(place, wanted[place].1, now);
+        tables.sort_by(|a, b| b.must.cmp(&a.must).then(b.moved.total_cmp(&a.moved)));
+        for TableChanges { place, changes, .. } in tables.into_iter().filter(|t| cycle || t.must) {
+            let levels = self.wanted_levels(place, wanted[place].placed, now);
             self.send_changes(place, changes, levels, now, out);
         }
         let unbound = self.proxies.iter().filter(|(_, p)| p.joined && !p.bound).map(|(id, _)| *id);
--- a/src/round.rs
+++ b/src/round.rs
@@ -196,7 +196,7 @@
 pub struct Beliefs {
     /// Queries a second that come to the joined proxies.
     pub demand: f64,
-    /// Part of them that the line lets in, and the pressure it goes by.
+    /// Part of them that is let in, and the pressure it goes by.
     pub let_in: f64,
     pub pressure: f64,
     /// Servers that are ready; those of them that are cold, and those that have lost trust.
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,8 +139,54 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     pub lines: BTreeMap<Address, f64>,
-    /// By class: the level, and the wire's retry mode.
-    pub levels: Vec<(f64, u8)>,
+    /// By class; none where nothing was ordered, and everything is let in.
+    pub levels: Vec<Option<Level>>,
+}
+
+/// What a table should be.
+#[derive(Clone, Debug)]
+pub struct WantedTable {
+    /// By server; they need not add up to 1.
+    pub weights: BTreeMap<Address, f64>,
+    /// Part of the table's requests that may be let in on them.
+    pub placed: f64,
+}
+
+/// What is ordered of a class.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Level {
+    /// Part of its requests that is let in, or requests a second of each proxy.
+    pub admitted: f64,
+    /// The wire's retry mode.
+    pub retry: u8,
+}
+
+impl Level {
+    /// Whether less is let in or retried than before.
+    pub fn falls_from(self, before: Level) -> bool {
+        self.admitted < before.admitted || self.retry < before.retry
+    }
+}
+
+/// What the limits of cold servers go by at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdBudget {
+    /// Requests a second that a unit of size carries.
+    pub carried_by_size: f64,
+    /// Size of most servers.
+    pub usual_size: f64,
+}
+
+/// All that should change in a table.
+#[derive(Clone, Debug)]
+pub struct TableChanges {
+    /// The place of the table.
+    pub place: usize,
+    /// Some of it can't wait for a cycle.
+    pub must: bool,
+    /// Requests a second that go elsewhere by it.
+    pub moved: f64,
+    pub changes: Vec<Change>,
 }
 
 /// A line of a table that should say something else.
@@ -153,11 +199,11 @@
     pub must: bool,
 }
 
-/// The line of benefit, and what it goes by.
+/// The admission limit, and what it goes by.
 #[derive(Clone, Debug)]
-pub struct Line {
+pub struct Admission {
     /// Part of all queries that is let in.
-    pub part: f64,
+    pub admitted: f64,
     /// That part, as it was while what is measured now was let in.
     pub held: f64,
     /// Queries a second that are let in.
@@ -165,7 +211,7 @@
     /// The usual server's time and failures, over the due time.
     pub pressure: f64,
     /// Answers a second that a unit of weight has been seen to give, at most.
-    pub proven: f64,
+    pub observed_capacity: f64,
     /// Size of all ready servers, where most of them were listed.
     pub most_listed: f64,
     /// Tries a second that came to an end.
@@ -175,14 +221,14 @@
     pub grown_at: Option<f64>,
 }
 
-impl Default for Line {
+impl Default for Admission {
     fn default() -> Self {
-        Line {
-            part: 1.0,
+        Admission {
+            admitted: 1.0,
             held: 1.0,
             limit: f64::INFINITY,
             pressure: 0.0,
-            proven: 0.0,
+            observed_capacity: 0.0,
             most_listed: 0.0,
             met: 0.0,
             usual: 0.0,
