--- a/pilot/src/core.rs
+++ b/pilot/src/core.rs
@@ -344,7 +344,7 @@
         let (version, news) = (self.tables.version(), News::of(&round));
         self.tables.open(now, self.counts.rounds, news);
         self.balancer.round(&round, &mut self.tables);
-        let chores = match &mut self.guarding {
+        let actions = match &mut self.guarding {
             None => self.tables.close(),
             Some(guarding) => {
                 guarding.hear(&round, &self.book, &self.tables, &self.settings);
@@ -352,15 +352,15 @@
             }
         };
         self.handing.spare(&self.tables, &self.book, &self.settings, now);
-        for (after, number) in chores.timers {
+        for (after, number) in actions.timers {
             self.timers.set(now + after, number);
         }
-        for server in chores.checks {
+        for server in actions.checks {
             if self.checking.insert(server) {
                 self.to_check.push(server);
             }
         }
-        for note in chores.notes {
+        for note in actions.notes {
             tracing::info!(round = self.counts.rounds, note);
         }
         if self.tables.version() != version {
--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -1,6 +1,6 @@
 //! Connections of proxies, collectors and strangers: who is accepted, heard, written to and sent away.
 
-use super::desk::Reaction;
+use super::controller::Reaction;
 use super::Pilot;
 use async_executor::LocalExecutor;
 use event_listener::Event;
@@ -228,7 +228,7 @@
                     let peer = pilot.connections.enter(stream);
                     executor.spawn(serve(peer, pilot.clone())).detach();
                 } else {
-                    pilot.desk.borrow_mut().counts.full += 1;
+                    pilot.controller.borrow_mut().counts.full += 1;
                     drop(stream.get_ref().write(REFUSED));
                 }
                 // Guards against a fleet that dials at once: those accepted are read, and those sent away
@@ -300,7 +300,7 @@
         if peer.joined.get() {
             return future::pending().await;
         }
-        pilot.desk.borrow_mut().counts.refused += 1;
+        pilot.controller.borrow_mut().counts.refused += 1;
         End::Refused
     };
     let end = future::or(hear(&peer, &pilot), future::or(speak(&peer), deadline)).await;
@@ -315,7 +315,7 @@
         drop(peer.stream.get_ref().write(REFUSED));
     }
     pilot.connections.leave(&peer);
-    pilot.desk.borrow_mut().ended(peer.number);
+    pilot.controller.borrow_mut().ended(peer.number);
     pilot.tell();
 }
 
@@ -363,7 +363,7 @@
     let most = pilot.connections.longest(kept);
     let longest = || if peer.joined.get() { most } else { LONGEST_FIRST };
     let cut = begun.cut(bytes, longest, |line| {
-        let reaction = pilot.desk.borrow_mut().line(peer.number, line, now);
+        let reaction = pilot.controller.borrow_mut().line(peer.number, line, now);
         match reaction {
             Reaction::Nothing => {}
             Reaction::Answer(bytes) => {
--- a/pilot/src/platform/desk.rs
+++ b/pilot/src/platform/controller.rs
@@ -55,7 +55,7 @@
 
 /// What a round comes to.
 #[derive(Debug, Default)]
-pub struct Done {
+pub struct Effects {
     pub messages: Vec<(Connection, Rc<[u8]>)>,
     pub checks: Vec<(Address, Process)>,
     /// The list is to be followed, or read whole.
@@ -64,7 +64,7 @@
     pub silent: Vec<Connection>,
 }
 
-pub struct Desk {
+pub struct Controller {
     balancer: Balancer,
     names: Names,
     sessions: Sessions,
@@ -81,14 +81,14 @@
     pub beliefs: Beliefs,
 }
 
-impl Desk {
+impl Controller {
     pub fn new(start: Start, names: &oatlever_instance::Names, seed: u64) -> Self {
         let names = Names {
             zones: names.zones.clone(),
             classes: names.classes.clone(),
             proxies: start.site.proxies as usize,
         };
-        Desk {
+        Controller {
             patience: patience(start.site.report_period, start.channel.longest_way),
             publisher: Publisher::new(names.classes.clone()),
             balancer: Balancer::new(start.site, start.classes, start.channel, start.rules, seed),
@@ -265,10 +265,10 @@
     }
 
     /// Takes up what came in and what is due by now, and calls the decisions where there is any.
-    pub fn step(&mut self, now: f64) -> Done {
+    pub fn step(&mut self, now: f64) -> Effects {
         self.round.timers = self.timers.due(now);
         if self.counts.rounds > 0 && !self.has_news() {
-            return Done::default();
+            return Effects::default();
         }
         let begun = std::time::Instant::now();
         let mut round = std::mem::take(&mut self.round);
@@ -276,11 +276,11 @@
         self.counts.rounds += 1;
         self.balancer.round(&round, &mut self.publisher);
         let (marked, name) = (self.publisher.marked(), |server| self.register.name(server));
-        let (messages, chores) = self.publisher.finish(self.sessions.proxies(), &name);
-        for (after, number) in chores.timers {
+        let (messages, actions) = self.publisher.finish(self.sessions.proxies(), &name);
+        for (after, number) in actions.timers {
             self.timers.set(now + after, number);
         }
-        for note in chores.notes {
+        for note in actions.notes {
             tracing::info!(note);
         }
         // Between reports demand fades and says less; without anybody to write to there is none to fade.
@@ -288,7 +288,7 @@
             self.beliefs = self.balancer.beliefs(now);
         }
         let due = |server| Some((server, self.register.process(server)?));
-        let checks: Vec<_> = chores.checks.into_iter().filter_map(due).collect();
+        let checks: Vec<_> = actions.checks.into_iter().filter_map(due).collect();
         let is_new = |(server, process): &(Address, Process)| {
             self.checking.insert(*server, *process).is_none_or(|under_way| under_way != *process)
         };
@@ -302,10 +302,10 @@
         let silent = self.sessions.silent(now, self.patience);
         self.counts.silent += silent.len() as u64;
         self.counts.longest_round = self.counts.longest_round.max(begun.elapsed().as_secs_f64() * 1e3);
-        Done { messages, checks, ask_list: chores.follow || chores.fetch, silent }
+        Effects { messages, checks, ask_list: actions.follow || actions.fetch, silent }
     }
 
-    /// When [`Desk::step`] has something to do next, if nothing comes in before.
+    /// When [`Controller::step`] has something to do next, if nothing comes in before.
     pub fn next_at(&self) -> Option<f64> {
         self.timers.next_at()
     }
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -38,17 +38,21 @@
 impl Course {
     /// Takes in a document. Errors: it is of no use.
     fn take(&mut self, document: &PlatformDocument, pilot: &Pilot) -> Result<(), String> {
-        let (mut desk, now) = (pilot.desk.borrow_mut(), pilot.clock.now());
-        let older = desk.register.is_older(document);
+        let (mut controller, now) = (pilot.controller.borrow_mut(), pilot.clock.now());
+        let older = controller.register.is_older(document);
         let since = *self.older_since.get_or_insert(now);
         let anew = older && document.whole && now - since > LAGS;
         if !older || anew {
             self.older_since = None;
         }
         if anew {
-            tracing::warn!(version = document.version, held = desk.register.version, "versions start anew");
+            tracing::warn!(
+                version = document.version,
+                held = controller.register.version,
+                "versions start anew"
+            );
         }
-        desk.list(document, if anew { Origin::Anew } else { Origin::Told })
+        controller.list(document, if anew { Origin::Anew } else { Origin::Told })
     }
 
     /// Goes on after an answer; tells whether it was of use, and how long to wait before the next call.
@@ -105,7 +109,7 @@
             told.await;
             continue;
         }
-        let after = pilot.desk.borrow().register.version.filter(|_| !course.whole);
+        let after = pilot.controller.borrow().register.version.filter(|_| !course.whole);
         let asked = async { Some(watch.ask(pilot.discovery.get(), after, &zones, (WAIT, PATIENCE)).await) };
         let told_anew = async {
             told.await;
@@ -115,7 +119,7 @@
         let Some(answer) = future::or(told_anew, asked).await else { continue };
         let (taken, pause) = course.after(answer, &pilot);
         if !taken {
-            pilot.desk.borrow_mut().list_missed(!always);
+            pilot.controller.borrow_mut().list_missed(!always);
             following = always;
         }
         pilot.tell();
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -1,12 +1,12 @@
 //! The pilot on the operators' platform: its sockets, and the loop that keeps its rounds.
 //!
 //! `configuration` reads what a pilot is told at its start, `connections` hears and speaks to proxies and
-//! collectors, `lists` follows discovery; `desk` gathers what they bring into rounds and knows no sockets.
+//! collectors, `lists` follows discovery; `controller` gathers what they bring into rounds and knows no sockets.
 //! All run on one thread.
 
 mod configuration;
 mod connections;
-mod desk;
+mod controller;
 mod lists;
 
 pub use configuration::Configuration;
@@ -16,7 +16,7 @@
 use crate::serve::listen;
 use async_executor::LocalExecutor;
 use connections::Connections;
-use desk::{Desk, Process};
+use controller::{Controller, Process};
 use event_listener::Event;
 use futures_lite::future;
 use oatlever::round::Address;
@@ -52,7 +52,7 @@
 /// What the tasks of the pilot's one thread share. No borrow is held across a wait.
 struct Pilot {
     clock: Clock,
-    desk: RefCell<Desk>,
+    controller: RefCell<Controller>,
     connections: Connections,
     discovery: Cell<SocketAddr>,
     /// It has answered a heartbeat.
@@ -81,7 +81,7 @@
     loop {
         let listener = pilot.news.listen();
         let now = pilot.clock.now();
-        let done = pilot.desk.borrow_mut().step(now);
+        let done = pilot.controller.borrow_mut().step(now);
         for (connection, bytes) in done.messages {
             pilot.connections.say(connection, bytes);
         }
@@ -95,7 +95,7 @@
         if done.ask_list {
             pilot.ask_list();
         }
-        let next = pilot.desk.borrow().next_at();
+        let next = pilot.controller.borrow().next_at();
         let wait = async {
             match next {
                 Some(at) => Timer::after(Duration::from_secs_f64((at - now).max(0.0))).await,
@@ -110,7 +110,7 @@
 
 async fn check(pilot: Rc<Pilot>, server: Address, process: Process, probes: Rc<Probes>, patience: f64) {
     let fine = probes.is_fine::<Alone>(process.0, HEALTH.to_string(), patience).await;
-    pilot.desk.borrow_mut().checked(server, process, fine);
+    pilot.controller.borrow_mut().checked(server, process, fine);
     pilot.tell();
 }
 
@@ -196,14 +196,14 @@
     let host = socket.get_ref().local_addr().unwrap_or(host);
     tracing::debug!(?start, ?names, "told");
     let follows = !start.site.list_on_request;
-    let mut desk = Desk::new(start, &names, seed);
+    let mut controller = Controller::new(start, &names, seed);
     // Guards against a start that is refused for what discovery tells anew anyway.
-    if let Err(what) = desk.list(&known, Origin::Cached) {
+    if let Err(what) = controller.list(&known, Origin::Cached) {
         tracing::warn!(%what, "known list left aside");
     }
     let pilot = Rc::new(Pilot {
         clock,
-        desk: RefCell::new(desk),
+        controller: RefCell::new(controller),
         connections: Connections::new(sockets - OWN_DESCRIPTORS, memory / UNFINISHED_PART),
         discovery: Cell::new(discovery),
         is_ready: Cell::new(false),
@@ -259,15 +259,15 @@
     let (mut idle, mut turned_away) = (None, 0);
     loop {
         Timer::after(Duration::from_secs_f64(TELL_EVERY)).await;
-        let desk = pilot.desk.borrow();
-        let cause = desk.idles(std::mem::replace(&mut turned_away, desk.turned_away()));
+        let controller = pilot.controller.borrow();
+        let cause = controller.idles(std::mem::replace(&mut turned_away, controller.turned_away()));
         match (std::mem::replace(&mut idle, cause), cause) {
             (before, Some(cause)) if before != Some(cause) => tracing::warn!(cause, "serves nobody"),
-            (Some(_), None) if desk.serves() => tracing::info!("serves again"),
+            (Some(_), None) if controller.serves() => tracing::info!("serves again"),
             _ => {}
         }
-        let (listed, remembered) = desk.register.sizes();
+        let (listed, remembered) = controller.register.sizes();
         let (open, unjoined) = pilot.connections.sizes();
-        tracing::info!(open, unjoined, listed, remembered, beliefs = ?desk.beliefs, counts = ?desk.counts, "so far");
+        tracing::info!(open, unjoined, listed, remembered, beliefs = ?controller.beliefs, counts = ?controller.counts, "so far");
     }
 }
--- a/src/round.rs
+++ b/src/round.rs
@@ -223,7 +223,7 @@
 
 /// What a round asks of the program itself, beside tables and messages.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Chores {
+pub struct Actions {
     /// Servers to check.
     pub checks: Vec<Address>,
     /// Seconds until a timer comes due, and its number.
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -16,7 +16,7 @@
 pub use pull::{Kind, Pull};
 pub use versions::{frozen, Kept, Lines, Refusal, Versions};
 
-use oatlever::round::{named_classes, Acknowledgement, Address, Chores, Writer, ALL_TABLES};
+use oatlever::round::{named_classes, Acknowledgement, Actions, Address, Writer, ALL_TABLES};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
@@ -104,7 +104,7 @@
     kept: usize,
     version: u64,
     open: Open,
-    chores: Chores,
+    actions: Actions,
     pub pull: Pull,
     pub history: History,
 }
@@ -121,7 +121,7 @@
             kept: VERSIONS,
             version: 0,
             open: Open::default(),
-            chores: Chores::default(),
+            actions: Actions::default(),
             pull,
             history: History::keep(kept),
         }
@@ -168,13 +168,13 @@
 
     /// Ends it: indexes, the version, the channel's book and the history follow the orders. Returns what
     /// the program itself is to do.
-    pub fn close(&mut self) -> Chores {
+    pub fn close(&mut self) -> Actions {
         self.close_reviewed(&mut Unreviewed)
     }
 
     /// The same, with a review of each table that changes before anybody can read it. Tables that are frozen
     /// or were replaced by a review are looked at in every round: what they show may have drained or warmed.
-    pub fn close_reviewed(&mut self, review: &mut dyn Review) -> Chores {
+    pub fn close_reviewed(&mut self, review: &mut dyn Review) -> Actions {
         let open = std::mem::take(&mut self.open);
         let held = self.tables.iter().enumerate().filter(|(_, held)| held.frozen.is_some() || held.replaced);
         let mut tables: BTreeSet<u16> = held.map(|(place, _)| place as u16).collect();
@@ -187,7 +187,7 @@
         for (table, moved) in laid.into_iter().filter(|(table, _)| !open.touched.contains(table)) {
             self.charge_users(table, moved, open.now);
         }
-        std::mem::take(&mut self.chores)
+        std::mem::take(&mut self.actions)
     }
 
     /// Keeps so many versions of each table.
@@ -425,7 +425,7 @@
     }
 
     fn check_health(&mut self, server: Address) {
-        self.chores.checks.push(server);
+        self.actions.checks.push(server);
     }
 
     fn mark(&mut self, number: u64, everyone: bool) {
@@ -443,10 +443,10 @@
     fn fetch_list(&mut self) {}
 
     fn set_timer(&mut self, after: f64, number: u64) {
-        self.chores.timers.push((after, number));
+        self.actions.timers.push((after, number));
     }
 
     fn note(&mut self, text: &str) {
-        self.chores.notes.push(text.to_string());
+        self.actions.notes.push(text.to_string());
     }
 }
