--- a/pilot/tests/crossings.rs
+++ b/pilot/tests/crossings.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::{attach, configuration, written, Pilot, LONG};
-use oatlever_standins::platform::{server, Discovery, Peer, Spoilt};
+use oatlever_standins::platform::{server, Discovery, Peer, Spoilt, EARLIEST_KILL};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -564,8 +564,6 @@
 /// been read (the client's socket tells of a reset, each time), as the signal is taken up before the sockets are.
 #[test]
 fn answers_that_are_owed_go_out_before_the_end() {
-    // The page: SIGKILL follows no sooner than 0.7 s after SIGTERM.
-    const EARLIEST_KILL: Duration = Duration::from_millis(700);
     let discovery = discovery(&[("s-1", "up")]);
     for round in 0..5 {
         let mut pilot = Pilot::start(&format!("owed-{round}"), &configuration(discovery.host, 64));
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use oatlever_fetch::{get, Place};
+use oatlever_standins::platform::EARLIEST_KILL;
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
@@ -30,9 +31,8 @@
 
 /// Between looks whether the pilot still runs.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// Between looks whether a pilot that is asked to end still runs.
 const LOOK_AGAIN_SOON: Duration = Duration::from_millis(5);
-/// From SIGTERM to the kill: the page's earliest.
-const EARLIEST_KILL: Duration = Duration::from_millis(700);
 /// Tables that a hand reaches for; more than small fleets have.
 const TABLES: u8 = 12;
 
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -8,6 +8,9 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// From SIGTERM to the kill of a pilot: the page's earliest.
+pub const EARLIEST_KILL: Duration = Duration::from_millis(700);
+
 /// A server as the list names it, of zone `a`.
 pub fn server(id: &str, state: &str) -> Value {
     json!({"id": id, "addr": "127.0.0.1:9", "zone": "a", "kind": "m2", "cell": 3, "state": state,
--- a/standins/src/soak/play.rs
+++ b/standins/src/soak/play.rs
@@ -3,7 +3,7 @@
 use super::plan::{Action, Plan, Signal};
 use super::proxy::{self, Shared};
 use super::record::{Entry, Event, Exit, Life, Recorder};
-use crate::platform::{server, Discovery};
+use crate::platform::{server, Discovery, EARLIEST_KILL};
 use rustix::process::{kill_process, Pid, Signal as SystemSignal};
 use serde_json::{json, Value};
 use std::io;
@@ -15,8 +15,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// From SIGTERM to the kill: the page's earliest.
-const EARLIEST_KILL: Duration = Duration::from_millis(700);
 /// A process that is held stands still for so long, in which every client asks.
 const HELD_FOR: Duration = Duration::from_millis(60);
 /// Between looks whether a process has ended.
