--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -95,6 +95,9 @@
         /// The protocol: the platform's where it is left out; on the others, days of the demo's fleet are judged.
         #[arg(long, value_enum)]
         front: Option<script::Front>,
+        /// The first realm of such days; each that is played at once has the next.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=17))]
+        realm: u8,
         /// The pilot's program; left out, the one beside this program.
         #[arg(long)]
         pilot: Option<PathBuf>,
@@ -234,21 +237,18 @@
     }
 }
 
-/// Realms of soaked days, apart from those of others.
-const SOAK_REALM: u8 = 2;
-
 /// Plays days of restarts on a front; returns whether all rules were kept and every pilot ended as it should.
 fn soak_days(
     seeds: std::ops::Range<u64>,
     seconds: f64,
-    at_once: u8,
+    (realm, at_once): (u8, u8),
     front: script::Front,
     program: &PathBuf,
 ) -> Result<bool, String> {
     let seeds: Vec<u64> = seeds.collect();
     let mut failed = 0;
     for some in seeds.chunks(usize::from(at_once)) {
-        let days = (SOAK_REALM..).zip(some).map(|(realm, seed)| {
+        let days = (realm..).zip(some).map(|(realm, seed)| {
             let mut script = Script::read(DEMO)?;
             let faults = many::restarts(&mut fastrand::Rng::with_seed(*seed), script.zones, seconds);
             script = Script { seed: *seed, seconds, relays_by: front, faults, ..script };
@@ -329,11 +329,11 @@
             }
             Ok(kept)
         }
-        Command::Soak { runs, first_seed, seconds, at_once, front, pilot } => {
+        Command::Soak { runs, first_seed, seconds, at_once, front, realm, pilot } => {
             let (program, seeds) = (program(pilot.as_ref())?, first_seed..first_seed + runs);
             match front {
                 None => soaking::soak(seeds, seconds, usize::from(at_once), &program),
-                Some(front) => soak_days(seeds, seconds, at_once, front, &program),
+                Some(front) => soak_days(seeds, seconds, (realm, at_once), front, &program),
             }
         }
         Command::Costs { record, page } => {
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -236,11 +236,23 @@
     use std::os::unix::fs::PermissionsExt;
     let pilot = Path::new(env!("CARGO_BIN_EXE_oatlever-standins")).with_file_name("oatlever");
     let wrapped = std::env::temp_dir().join(format!("oatlever-soak-bad-{}", std::process::id()));
-    let script = format!("#!/bin/sh\ntrap 'exit 3' TERM\n{} \"$@\" <&0 &\nwait\n", pilot.display());
+    // Of a command in the background, a shell makes standard input /dev/null before it is redirected.
+    let script =
+        format!("#!/bin/sh\ntrap 'exit 3' TERM\nexec 3<&0\n{} \"$@\" <&3 &\nwait\n", pilot.display());
     std::fs::write(&wrapped, script).unwrap();
     std::fs::set_permissions(&wrapped, std::fs::Permissions::from_mode(0o755)).unwrap();
-    let (status, said) =
-        soaked(&["--front", "dns", "--runs", "1", "--seconds", "10", "--pilot", wrapped.to_str().unwrap()]);
+    let (status, said) = soaked(&[
+        "--front",
+        "dns",
+        "--realm",
+        "5",
+        "--runs",
+        "1",
+        "--seconds",
+        "10",
+        "--pilot",
+        wrapped.to_str().unwrap(),
+    ]);
     std::fs::remove_file(&wrapped).unwrap();
     assert_eq!(status, Some(1), "{said}");
     assert!(said.contains("a day ended with exit status: 2") && said.contains("again: "), "{said}");
