--- a/src/state.rs
+++ b/src/state.rs
@@ -162,9 +162,10 @@
 }
 
 impl Level {
-    /// Whether less is let in or retried than before.
+    /// Whether less is let in than before. A retry that is taken back is no fall: put before weights, it keeps those
+    /// that lead away from a trouble waiting.
     pub fn falls_from(self, before: Level) -> bool {
-        self.admitted < before.admitted || self.retry < before.retry
+        self.admitted < before.admitted
     }
 }
 
