--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -257,8 +257,8 @@
 
 /// Answers what has come on all connections, and waits until it is written, for as long as that may take at the end.
 ///
-/// Without it, the answer to a request that was read in the turn in which the end is asked for is dropped with the
-/// task that should write it. One that does not read holds the end up for `LAST_ANSWERS`, and no longer.
+/// Without it, requests that came before the end was asked for lie unread and are reset with their connections, as the
+/// signal is taken up before the sockets are. One that does not read holds the end up for `LAST_ANSWERS`, and no longer.
 pub async fn finish(pilot: &Pilot) {
     let open: Vec<Rc<Peer>> = pilot.connections.open.borrow().values().cloned().collect();
     for peer in open.iter().filter(|peer| !peer.closed.get()) {
