--- a/review/platform/src/trials.rs
+++ b/review/platform/src/trials.rs
@@ -138,6 +138,42 @@
                 setup.steps.push((at + 1.0, Step::Start(pilot)));
             }
         }
+        "herd" | "herdslow" | "herdslow5" | "herdroll" => {
+            match kind {
+                "herdslow" => setup.steps.push((10.0, Step::Slow(2.4))),
+                "herdroll" => {
+                    for n in 0..8 {
+                        setup.steps.push((15.9 + 0.3 * n as f64, Step::Reset(4, 2)));
+                    }
+                }
+                "herdslow5" => setup.steps.push((10.0, Step::Slow(4.9))),
+                _ => {}
+            }
+            setup.pilots = 5;
+            setup.proxies = 240;
+            setup.rate = 850.0;
+            setup.speed = 0.95;
+            setup.servers = vec![30, 30, 140];
+            setup.lines_per_second = 6400.0;
+            setup.queue_cap = 8200.0;
+            let name = |zone: usize, n: usize| format!("{}-{n:02}", ["atlanta", "athens", "macon"][zone]);
+            for n in 0..33 {
+                for zone in 0..3 {
+                    let at = [12.6, 13.0, 14.4, 16.6][n / 9];
+                    setup.steps.push((at, Step::Add(name(zone, 120 + n), zone)));
+                }
+            }
+            let some = |from: usize, to: usize| {
+                (from..to).flat_map(|n| (0..3).map(move |zone| name(zone, n))).collect::<Vec<_>>()
+            };
+            setup.steps.push((13.9, Step::Drain(some(0, 10))));
+            setup.steps.push((15.27, Step::Drain(some(10, 20))));
+            setup.steps.push((17.5, Step::Drain(some(20, 30))));
+            for pilot in 0..4 {
+                setup.steps.push((15.18, Step::Kill(pilot)));
+                setup.steps.push((18.0, Step::Start(pilot)));
+            }
+        }
         "join" => steps_replace(&mut setup, 12.0, 7.0, half * 6 / 5),
         "kill" => {
             steps_replace(&mut setup, 12.0, 7.0, half);
@@ -208,6 +244,13 @@
             setup.steps.push((at, Step::Drain(six.clone())));
             setup.steps.push((at + 4.0, Step::Remove(six)));
         }
+        "killslow" => {
+            setup.pilots = 2;
+            setup.steps.push((10.0, Step::Slow(4.9)));
+            steps_replace(&mut setup, 14.0, 10.0, half);
+            setup.steps.push((15.0, Step::Kill(1)));
+            setup.steps.push((25.0, Step::Slow(1.0)));
+        }
         "stall" => {
             steps_replace(&mut setup, 12.0, 10.0, half);
             for n in 0..6 {
