--- a/review/platform/src/setup.rs
+++ b/review/platform/src/setup.rs
@@ -103,6 +103,8 @@
     Signal(usize, &'static str),
     /// The streams of every n-th proxy of a pilot are reset.
     Reset(usize, usize),
+    /// Seven in ten proxies of a pilot die at once, and come back with what they started with.
+    LoseProxies(usize),
     /// The channels send this many times slower.
     Slow(f64),
 }
--- a/review/platform/src/trials.rs
+++ b/review/platform/src/trials.rs
@@ -138,7 +138,7 @@
                 setup.steps.push((at + 1.0, Step::Start(pilot)));
             }
         }
-        "herd" | "herdslow" | "herdslow5" | "herdroll" => {
+        "herd" | "herdslow" | "herdslow5" | "herdroll" | "herdlose" => {
             match kind {
                 "herdslow" => setup.steps.push((10.0, Step::Slow(2.4))),
                 "herdroll" => {
@@ -146,6 +146,10 @@
                         setup.steps.push((15.9 + 0.3 * n as f64, Step::Reset(4, 2)));
                     }
                 }
+                "herdlose" => {
+                    setup.redial = (0.02, 0.6);
+                    setup.steps.push((16.16, Step::LoseProxies(4)));
+                }
                 "herdslow5" => setup.steps.push((10.0, Step::Slow(4.9))),
                 _ => {}
             }
--- a/review/platform/src/world.rs
+++ b/review/platform/src/world.rs
@@ -859,6 +859,13 @@
                     self.leave(id);
                 }
             }
+            Step::LoseProxies(pilot) => {
+                let dies = |stream: &Stream| stream.pilot == pilot && stream.proxy % 10 < 7;
+                let ids: Vec<u64> = self.streams.iter().filter(|(_, s)| dies(s)).map(|(id, _)| *id).collect();
+                for id in ids {
+                    self.leave(id);
+                }
+            }
             Step::Slow(factor) => self.slowness = factor,
         }
     }
