Review: end early runs whole; case 3 lets traffic fall and tells of ended servers

A check of the cases found that a script that was sent SIGTERM left its pilots running, and that case 3 was not quite the disruption that its claim quotes: traffic did not fall, and the list never said that drained servers were gone. The scripts now run in a process group of their own, which they end; SIGTERM after 3 s left no process.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,10 @@
 command=$(sed -n 's/^sim = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
 program=../platform/target/release/review-platform
 [ -n "$command" ] && [ -x "$program" ] || exit 2
-exec "$program" owner "$root" "$command" record.txt
+# A process group of its own, so that nothing is left where the script is ended early.
+set -m
+"$program" owner "$root" "$command" record.txt &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' INT TERM HUP
+wait "$group"
--- a/review/platform/src/slices.rs
+++ b/review/platform/src/slices.rs
@@ -66,6 +66,8 @@
     rng: Rng,
     /// When the instances were told that servers drain.
     told: BTreeMap<usize, f64>,
+    /// Servers that have ended.
+    gone: Vec<usize>,
     broken: BTreeMap<&'static str, u64>,
     /// The longest time by which a write came too late.
     worst: f64,
@@ -102,6 +104,7 @@
             met: BTreeMap::new(),
             rng: Rng(setup.seed),
             told: BTreeMap::new(),
+            gone: Vec::new(),
             broken: BTreeMap::new(),
             worst: 0.0,
             waited: 0.0,
@@ -203,10 +206,16 @@
                 self.note(now, &format!("server {server} drains; all instances are told"));
                 let entry = (Self::endpoint(server), self.zone(server), 2);
                 for instance in 0..self.setup.pilots {
-                    self.batches[instance].list(instance as u16, 0, 1 + drained as u64, &[entry]);
+                    self.batches[instance].list(
+                        instance as u16,
+                        0,
+                        1 + drained as u64 + self.gone.len() as u64,
+                        &[entry],
+                    );
                 }
                 self.told.insert(server, now);
             }
+            self.end_drained(now, drained as u64);
             if kills && trouble && !killed && now >= KILL_AT {
                 killed = true;
                 self.kill(now, 0);
@@ -218,7 +227,9 @@
             self.deliver(now);
             while next_request <= now {
                 self.request(next_request);
-                next_request += self.rng.exponential(1.0 / self.setup.rate);
+                // Traffic falls with the fleet.
+                let fleet = if kills { 1.0 } else { 1.0 - self.told.len() as f64 / self.cores.len() as f64 };
+                next_request += self.rng.exponential(1.0 / (self.setup.rate * fleet));
             }
             if next_report <= now {
                 self.report();
@@ -231,6 +242,23 @@
         Ok(())
     }
 
+    /// Draining servers end after their time, and the list says that they are gone.
+    fn end_drained(&mut self, now: f64, version: u64) {
+        let due = |(server, told): (&usize, &f64)| {
+            (now > told + self.slices.drain_time && !self.gone.contains(server)).then_some(*server)
+        };
+        let ended: Vec<usize> = self.told.iter().filter_map(due).collect();
+        for server in ended {
+            self.gone.push(server);
+            self.note(now, &format!("server {server} has ended; all instances are told that it is gone"));
+            let entry = (Self::endpoint(server), self.zone(server), 0);
+            for instance in 0..self.setup.pilots {
+                let version = 1 + version + self.gone.len() as u64;
+                self.batches[instance].list(instance as u16, 0, version, &[entry]);
+            }
+        }
+    }
+
     /// The process of an instance dies. What waits in its channel or is on its way is lost, and the proxies notice at
     /// once: they send writes for the lease, then none until they have read the store.
     fn kill(&mut self, now: f64, instance: usize) {
