--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,7 +21,7 @@
 
 use crate::rng::Rng;
 use crate::round::{Address, Beliefs, Channel, Plan, QueryClass, Round, Rules, Site, Writer};
-use crate::state::{Admission, Proxy, Queue, Server, Table, Times};
+use crate::state::{Admission, Proxy, Queue, Server, Slice, Table, Times};
 use std::collections::BTreeMap;
 
 /// s; interval at which deferred orders are reconsidered. Well below every grace period.
@@ -66,8 +66,8 @@
     servers: BTreeMap<Address, Server>,
     proxies: BTreeMap<u16, Proxy>,
     tables: Vec<Table>,
-    /// The servers of each slice assigned to this pilot, and when a server was last removed from it.
-    slices: BTreeMap<u16, (Vec<Address>, f64)>,
+    /// The slices assigned to this pilot.
+    slices: BTreeMap<u16, Slice>,
     /// By zone: factor by which crowding scales its capacity.
     crowding: Vec<f64>,
     /// Number of groups that each server belongs to.
--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -1,60 +1,99 @@
 //! Assignment of slices to servers.
 
 use super::{Balancer, URGENT_QUEUE_SHARE};
-use crate::round::{Address, Round, Writer};
-use crate::state::Server;
+use crate::round::{Address, Round, SliceAssignment, Writer};
+use crate::state::{Server, Slice};
 use std::collections::BTreeMap;
 
+/// The slices of a server.
+struct SliceLoad {
+    slices: usize,
+    /// The most that it may be given.
+    max_slices: usize,
+}
+
 impl Balancer {
     /// Assigns slices with the fewest changes allowed: a slice whose server drains, is gone or was never
     /// named gets the ready server with the fewest slices. Where a slice has an exclusive owner, the old one
     /// is removed first and its writes get time to finish.
     pub(super) fn update_slices(&mut self, round: &Round, now: f64, out: &mut dyn Writer) {
-        for assignment in &round.slice_assignments {
+        self.apply_slice_assignments(&round.slice_assignments);
+        let mut loads = self.slice_loads(now);
+        let mut slices = std::mem::take(&mut self.slices);
+        for (number, slice) in &mut slices {
+            let max_lines = URGENT_QUEUE_SHARE * self.channel.max_waiting_lines / 2.0;
+            let is_served = !slice.servers.is_empty() && slice.servers.iter().all(|a| loads.contains_key(a));
+            if is_served || self.queue.ordinary_lines > max_lines {
+                continue;
+            }
+            for server in slice.servers.extract_if(.., |a| !loads.contains_key(a)) {
+                out.set_weight(*number, server, 0.0);
+                slice.removed_at = now;
+                self.charge_slice_order();
+            }
+            if !slice.servers.is_empty() || now < self.earliest_handover(slice) {
+                continue;
+            }
+            if let Some(server) = take_least_loaded(&mut loads) {
+                out.set_weight(*number, server, 1.0);
+                slice.servers.push(server);
+                self.charge_slice_order();
+            }
+        }
+        self.slices = slices;
+    }
+
+    /// Applies the slices that the store assigned to this pilot or took away.
+    fn apply_slice_assignments(&mut self, assignments: &[SliceAssignment]) {
+        for assignment in assignments {
             self.slices.remove(&assignment.slice);
             if assignment.assigned {
                 let servers = assignment.weights.iter().map(|weight| weight.0).collect();
-                self.slices.insert(assignment.slice, (servers, f64::NEG_INFINITY));
+                self.slices.insert(assignment.slice, Slice { servers, removed_at: f64::NEG_INFINITY });
             }
         }
-        let assigned: Vec<Address> = self.slices.values().flat_map(|(servers, _)| servers).copied().collect();
-        // A slice can't be assigned partially: a cold server gets only as many as it is sure to carry.
+    }
+
+    /// The slices of each ready server. A slice can't be assigned partially: a cold server gets only as many
+    /// as it is sure to carry, and one with more than that is left out.
+    fn slice_loads(&self, now: f64) -> BTreeMap<Address, SliceLoad> {
         let slice_demand = self.demand(true, now).iter().sum::<f64>() / self.site.slices as f64;
         let budget = self.cold_budget(now);
-        let max_slices = |s: &Server| match self.is_cold(s, now) {
-            true => (self.cold_limit(s, &budget, now) / slice_demand.max(f64::MIN_POSITIVE)) as usize,
+        let max_slices = |server: &Server| match self.is_cold(server, now) {
+            true => (self.cold_limit(server, &budget, now) / slice_demand.max(f64::MIN_POSITIVE)) as usize,
             false => usize::MAX,
         };
-        let ready = self.servers.iter().filter(|(_, s)| s.is_ready());
-        let loads = ready.map(|(a, s)| (*a, (assigned.iter().filter(|b| *b == a).count(), max_slices(s))));
-        let mut load: BTreeMap<Address, (usize, usize)> =
-            loads.filter(|(_, (count, max))| count <= max).collect();
-        let joined = self.proxies.values().filter(|p| p.joined).count() as f64;
+        let assigned: Vec<Address> = self.slices.values().flat_map(|slice| &slice.servers).copied().collect();
+        let ready = self.servers.iter().filter(|(_, server)| server.is_ready());
+        let loads = ready.map(|(address, server)| {
+            let slices = assigned.iter().filter(|other| *other == address).count();
+            (*address, SliceLoad { slices, max_slices: max_slices(server) })
+        });
+        loads.filter(|(_, load)| load.slices <= load.max_slices).collect()
+    }
+
+    /// Accounts for an order of a slice, which goes to all joined proxies.
+    fn charge_slice_order(&mut self) {
+        let joined = self.proxies.values().filter(|proxy| proxy.joined).count() as f64;
+        self.queue.charge_ordinary((self.channel.header_lines + 1.0) * joined);
+    }
+
+    /// When a slice without a server may get a new one: where its owner is exclusive, the writes of the former
+    /// one have finished by then.
+    fn earliest_handover(&self, slice: &Slice) -> f64 {
         let handover_time = if self.site.exclusive_owner {
             self.channel.max_delivery_delay + self.site.max_write_duration
         } else {
             0.0
         };
-        for (slice, (servers, removed_at)) in &mut self.slices {
-            let full = self.queue.ordinary_lines > URGENT_QUEUE_SHARE * self.channel.max_waiting_lines / 2.0;
-            if full || !servers.is_empty() && servers.iter().all(|a| load.contains_key(a)) {
-                continue;
-            }
-            for old in servers.extract_if(.., |a| !load.contains_key(a)) {
-                out.set_weight(*slice, old, 0.0);
-                *removed_at = now;
-                self.queue.ordinary_lines += (self.channel.header_lines + 1.0) * joined;
-            }
-            let available = load.iter_mut().filter(|(_, (count, max))| count < max);
-            let target = available
-                .min_by_key(|(_, (count, max))| (*max < usize::MAX, *count))
-                .filter(|_| servers.is_empty());
-            if let Some((target, (count, _))) = target.filter(|_| now - *removed_at >= handover_time) {
-                out.set_weight(*slice, *target, 1.0);
-                servers.push(*target);
-                *count += 1;
-                self.queue.ordinary_lines += (self.channel.header_lines + 1.0) * joined;
-            }
-        }
+        slice.removed_at + handover_time
     }
 }
+
+/// Counts a slice to the server that should get the next one: the one with the fewest, warm ones first.
+fn take_least_loaded(loads: &mut BTreeMap<Address, SliceLoad>) -> Option<Address> {
+    let available = loads.iter_mut().filter(|(_, load)| load.slices < load.max_slices);
+    let (address, load) = available.min_by_key(|(_, load)| (load.max_slices < usize::MAX, load.slices))?;
+    load.slices += 1;
+    Some(*address)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,14 @@
     }
 }
 
+/// A slice assigned to this pilot.
+#[derive(Clone, Debug)]
+pub struct Slice {
+    pub servers: Vec<Address>,
+    /// When a server was last removed from it.
+    pub removed_at: f64,
+}
+
 /// What the proxies that use a table were sent last.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
