Wait for writes to a former owner before a slice that was assigned gets a new one

The same wait was too short for an owner that drains as the slice is assigned: proxies without a stream go on for the write lease.

The three tests failed before: 'an owner is named at 50, while writes may go on until 56.5', 'at 71 ... 77.5', 'at 54.55 ... 56.5'.

Fix: an owner is named no earlier than the write lease and the longest write after the assignment. By then every proxy has read the store or sends no writes, and what was sent has ended. write-lease-ms is read where slices have exclusive owners.

--- a/benches/src/fleet.rs
+++ b/benches/src/fleet.rs
@@ -43,6 +43,7 @@
             power_of_two_choices: false,
             report_period: 1.0,
             max_write_duration: 0.0,
+            write_lease: 0.0,
         };
         let most = f64::from(proxies) * 400.0;
         let channel = Channel {
--- a/instance/src/lib.rs
+++ b/instance/src/lib.rs
@@ -243,14 +243,16 @@
         return settings.required("zones")?.invalid("a list of one zone or more");
     }
     let max_messages = info.required("reloads-max")?.integer(0.0, MAX_NUMBER)? as usize;
+    let slices = info.required("partitions-n")?.integer(0.0, MAX_COUNT)? as usize;
+    let exclusive_owner = info.flag("one-owner")?;
     let list_on_request = settings.choice("registry-mode", &[("pushed", false), ("on_request", true)])?;
     Ok(InstanceSettings {
         site: Site {
             zones,
             pilots: (settings.required("siblings")?.integer(0.0, MAX_COUNT)? as usize).max(1),
             proxies: info.required("data-plane-size")?.integer(1.0, MAX_COUNT)?,
-            slices: info.required("partitions-n")?.integer(0.0, MAX_COUNT)? as usize,
-            exclusive_owner: info.flag("one-owner")?,
+            slices,
+            exclusive_owner,
             list_on_request,
             probes: limits.flag("probes")?,
             level_kind: info.choice(
@@ -261,6 +263,8 @@
                 .choice("choice", &[("weighted", false), ("round", false), ("two", true)])?,
             report_period: info.positive_seconds("period-ms")?,
             max_write_duration: info.seconds("write-life-ms")?,
+            // Proxies send writes by lease only where slices have an exclusive owner.
+            write_lease: if slices > 0 && exclusive_owner { info.seconds("write-lease-ms")? } else { 0.0 },
         },
         classes,
         channel: Channel {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -125,6 +125,7 @@
             power_of_two_choices: false,
             report_period: self.reports.period,
             max_write_duration: 0.0,
+            write_lease: 0.0,
         }
     }
 
--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -17,7 +17,7 @@
     /// named gets the ready server with the fewest slices. Where a slice has an exclusive owner, the old one
     /// is removed first and its writes get time to finish.
     pub(super) fn update_slices(&mut self, round: &Round, now: f64, out: &mut dyn Writer) {
-        self.apply_slice_assignments(&round.slice_assignments);
+        self.apply_slice_assignments(&round.slice_assignments, now);
         let mut loads = self.slice_loads(now);
         let mut slices = std::mem::take(&mut self.slices);
         for (number, slice) in &mut slices {
@@ -44,12 +44,15 @@
     }
 
     /// Applies the slices that the store assigned to this pilot or took away.
-    fn apply_slice_assignments(&mut self, assignments: &[SliceAssignment]) {
+    fn apply_slice_assignments(&mut self, assignments: &[SliceAssignment], now: f64) {
         for assignment in assignments {
             self.slices.remove(&assignment.slice);
             if assignment.assigned {
                 let servers = assignment.weights.iter().map(|weight| weight.0).collect();
-                self.slices.insert(assignment.slice, Slice { servers, removed_at: f64::NEG_INFINITY });
+                self.slices.insert(
+                    assignment.slice,
+                    Slice { servers, assigned_at: now, removed_at: f64::NEG_INFINITY },
+                );
             }
         }
     }
@@ -78,15 +81,19 @@
         self.queue.charge_ordinary((self.channel.header_lines + 1.0) * joined);
     }
 
-    /// When a slice without a server may get a new one: where its owner is exclusive, the writes of the former
+    /// When a slice without a server may get a new one: where its owner is exclusive, the writes at any former
     /// one have finished by then.
+    ///
+    /// A slice that is assigned without an owner may have had one a moment ago: the pilot that removed it,
+    /// another one or this one before a restart, left no trace of that in the store. Proxies that its order has
+    /// not reached send writes to that owner until they have read the store, for a lease at most.
     fn earliest_handover(&self, slice: &Slice) -> f64 {
-        let handover_time = if self.site.exclusive_owner {
-            self.channel.max_delivery_delay + self.site.max_write_duration
-        } else {
-            0.0
-        };
-        slice.removed_at + handover_time
+        if !self.site.exclusive_owner {
+            return slice.assigned_at;
+        }
+        let removal_received_at = slice.removed_at + self.channel.max_delivery_delay;
+        let store_read_at = slice.assigned_at + self.site.write_lease;
+        removal_received_at.max(store_read_at) + self.site.max_write_duration
     }
 }
 
--- a/src/round.rs
+++ b/src/round.rs
@@ -59,6 +59,9 @@
     pub report_period: f64,
     /// The longest time that a write may take at the server that it was sent to.
     pub max_write_duration: f64,
+    /// s; where slices have exclusive owners, a proxy goes on sending writes to the owner it knows for this long
+    /// after its stream broke or the slice was assigned to another pilot, then none until it has read the store.
+    pub write_lease: f64,
 }
 
 /// The pilot's channel to its proxies.
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,7 +146,9 @@
 #[derive(Clone, Debug)]
 pub struct Slice {
     pub servers: Vec<Address>,
-    /// When a server was last removed from it.
+    /// When it was assigned to this pilot.
+    pub assigned_at: f64,
+    /// When this pilot last removed a server from it.
     pub removed_at: f64,
 }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -197,6 +197,11 @@
             .to_string();
         assert!(message.contains(expected), "got `{message}`, expected `{expected}`");
     }
+    let mut without_lease = valid.clone();
+    without_lease["family-info"]["partitions-n"] = json!(8);
+    without_lease["family-info"]["one-owner"] = json!(true);
+    let message = instance_settings(&Node::root(&without_lease)).expect_err("no write lease").to_string();
+    assert!(message.contains("`write-lease-ms` is missing in `family-info`"), "{message}");
     let mut without_window = valid;
     without_window["family-info"]["reloads-max"] = json!(12);
     without_window["family-info"]["update-window-ms"] = json!(0);
--- /dev/null
+++ b/tests/slice_handover.rs
@@ -0,0 +1,87 @@
+//! Slices with an exclusive owner: a new one is named only when no write can be in progress at a former one.
+
+mod support;
+
+use oatlever::round::*;
+use support::*;
+
+const SLICE: u16 = 1;
+const START: f64 = 50.0;
+const LEASE: f64 = 2.5;
+/// s; rounds are run at this interval.
+const STEP: f64 = 0.05;
+/// s; a new owner is named within this time after the moment when that is safe.
+const DELAY: f64 = 0.5;
+
+fn exclusive_site() -> Site {
+    Site { slices: 4, exclusive_owner: true, write_lease: LEASE, ..site() }
+}
+
+fn assignment(assigned: bool, owner: Option<u16>) -> SliceAssignment {
+    SliceAssignment {
+        slice: SLICE,
+        assigned,
+        weights: owner.map(|n| (address(n), 1.0)).into_iter().collect(),
+    }
+}
+
+/// A pilot with three warm servers, six proxies and the slice, whose owner in the store is given.
+fn pilot(owner: Option<u16>) -> Harness {
+    let mut harness = Harness::new(exclusive_site(), rules(), channel(0));
+    let streams = (0..6).map(|proxy| join(proxy, proxy % 3)).collect();
+    let round = initial_round(START, ready_servers(3, 3), streams);
+    harness.state.tables.entry(SLICE).or_default().extend(owner.map(|n| (address(n), 1.0)));
+    harness.round(&Round { slice_assignments: vec![assignment(true, owner)], ..round });
+    harness
+}
+
+/// Runs rounds after `now` until the slice has an owner again, and returns that moment.
+fn named_at(harness: &mut Harness, mut now: f64) -> f64 {
+    while harness.state.table(SLICE).is_empty() {
+        now += STEP;
+        assert!(now < START + 60.0, "the slice never gets an owner");
+        harness.round(&round_at(now));
+    }
+    now
+}
+
+fn assert_named_soon_after(named: f64, safe: f64) {
+    assert!(named >= safe, "an owner is named at {named}, while writes may go on until {safe}");
+    assert!(named <= safe + DELAY, "an owner is named only at {named}, and it is safe from {safe} on");
+}
+
+/// Guards against writes at two servers at a time after a pilot restarted, or another took over, just after an
+/// owner was removed: a slice that the store assigns without an owner may have had one a moment ago.
+#[test]
+fn a_slice_assigned_without_an_owner_waits_for_writes_to_a_former_one() {
+    let mut harness = pilot(None);
+    let safe = START + LEASE + site().max_write_duration;
+    assert_named_soon_after(named_at(&mut harness, START), safe);
+}
+
+/// Guards against the same where the slice comes back to a pilot that it was taken from.
+#[test]
+fn a_slice_that_comes_back_without_an_owner_waits_again() {
+    let mut harness = pilot(Some(1));
+    let (taken, back) = (START + 20.0, START + 21.0);
+    harness.round(&Round { slice_assignments: vec![assignment(false, None)], ..round_at(taken) });
+    harness.state.tables.clear();
+    harness.round(&Round { slice_assignments: vec![assignment(true, None)], ..round_at(back) });
+    let safe = back + LEASE + site().max_write_duration;
+    assert_named_soon_after(named_at(&mut harness, back), safe);
+}
+
+/// Guards against writes to an owner that a pilot removes as it takes the slice over: proxies that have not read
+/// the store go on for a lease.
+#[test]
+fn an_owner_that_drains_at_the_assignment_keeps_its_writes_for_a_lease() {
+    let mut harness = Harness::new(exclusive_site(), rules(), channel(0));
+    let mut servers = ready_servers(3, 3);
+    servers[1].readiness = Readiness::Draining;
+    let round = initial_round(START, servers, vec![join(0, 0)]);
+    harness.state.tables.entry(SLICE).or_default().insert(address(1), 1.0);
+    harness.round(&Round { slice_assignments: vec![assignment(true, Some(1))], ..round });
+    assert!(harness.state.table(SLICE).is_empty());
+    let safe = START + LEASE + site().max_write_duration;
+    assert_named_soon_after(named_at(&mut harness, START), safe);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -33,6 +33,7 @@
         power_of_two_choices: false,
         report_period: 1.0,
         max_write_duration: 4.0,
+        write_lease: 1.0,
     }
 }
 
