Let the write leases of proxies that lost their stream end before a slice's owner changes

Callers could see writes of a slice at two servers at a time after a drain: a proxy whose stream broke just before an owner was removed does not receive the removal and writes to that owner for its lease, while others write to the new one.

Cause: as in the takeover of a slice, the wait took a removal for received by every proxy within the longest way of a message.

Evidence: the test failed before ('an owner is named at 4.55, while writes may go on until 5.5', relative to the removal, with a stream lost 1 s before it).

Fix: the wait counts from the end of such a proxy's lease where that is later than the removal's arrival. A loss that is reported after the arrival may have come before; where writes are short, new owners wait until losses are reported. Sites that lose no stream and whose writes may last 3 s wait as long as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -112,6 +112,9 @@
         for stream in &round.streams {
             let zone = usize::from(stream.zone).min(self.site.zones - 1);
             let proxy = self.proxies.entry(stream.proxy).or_default();
+            if proxy.joined {
+                self.times.stream_lost_at = now;
+            }
             let (group, rate) = (proxy.group, stream.rate);
             *proxy = Proxy { zone, group, rate, joined: stream.up, ..Proxy::default() };
         }
--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -5,6 +5,9 @@
 use crate::state::{Server, Slice};
 use std::collections::BTreeMap;
 
+/// s; the loss of a proxy's stream is reported within this time.
+const LOSS_REPORT_DELAY: f64 = 3.0;
+
 /// The slices of a server.
 struct SliceLoad {
     slices: usize,
@@ -28,7 +31,7 @@
             }
             for server in slice.servers.extract_if(.., |a| !loads.contains_key(a)) {
                 out.set_weight(*number, server, 0.0);
-                slice.removed_at = now;
+                slice.removal_received_at = now + self.channel.max_delivery_delay;
                 self.charge_slice_order();
             }
             if !slice.servers.is_empty() || now < self.earliest_handover(slice) {
@@ -49,10 +52,8 @@
             self.slices.remove(&assignment.slice);
             if assignment.assigned {
                 let servers = assignment.weights.iter().map(|weight| weight.0).collect();
-                self.slices.insert(
-                    assignment.slice,
-                    Slice { servers, assigned_at: now, removed_at: f64::NEG_INFINITY },
-                );
+                self.slices
+                    .insert(assignment.slice, Slice { servers, assigned_at: now, removal_received_at: now });
             }
         }
     }
@@ -85,15 +86,19 @@
     /// one have finished by then.
     ///
     /// A slice that is assigned without an owner may have had one a moment ago: the pilot that removed it,
-    /// another one or this one before a restart, left no trace of that in the store. Proxies that its order has
-    /// not reached send writes to that owner until they have read the store, for a lease at most.
+    /// another one or this one before a restart, left no trace of that in the store. A proxy that such a removal
+    /// does not reach, or that loses its stream before one of this pilot reaches it, sends writes to that owner
+    /// until it has read the store, for a lease at most.
     fn earliest_handover(&self, slice: &Slice) -> f64 {
         if !self.site.exclusive_owner {
             return slice.assigned_at;
         }
-        let removal_received_at = slice.removed_at + self.channel.max_delivery_delay;
-        let store_read_at = slice.assigned_at + self.site.write_lease;
-        removal_received_at.max(store_read_at) + self.site.max_write_duration
+        let (received_at, max_write) = (slice.removal_received_at, self.site.max_write_duration);
+        let cut_off_at = self.times.stream_lost_at.max(slice.assigned_at).min(received_at);
+        let writes_end = received_at.max(cut_off_at + self.site.write_lease) + max_write;
+        // A stream may have broken without a report yet.
+        let latest_end = received_at + self.site.write_lease + max_write;
+        writes_end.max(latest_end.min(received_at + LOSS_REPORT_DELAY))
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -148,8 +148,9 @@
     pub servers: Vec<Address>,
     /// When it was assigned to this pilot.
     pub assigned_at: f64,
-    /// When this pilot last removed a server from it.
-    pub removed_at: f64,
+    /// When the proxies with a stream have received the last removal of a server by this pilot; the time of the
+    /// assignment where there was none.
+    pub removal_received_at: f64,
 }
 
 /// What the proxies that use a table were sent last.
@@ -265,6 +266,8 @@
     pub last_cycle: f64,
     pub next_cycle: f64,
     pub next_recheck: f64,
+    /// When the loss of a proxy's stream was last reported.
+    pub stream_lost_at: f64,
 }
 
 /// The messages of one round: the number they are marked with, and how many lines and messages may still
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -27,7 +27,11 @@
 
 /// A pilot with three warm servers, six proxies and the slice, whose owner in the store is given.
 fn pilot(owner: Option<u16>) -> Harness {
-    let mut harness = Harness::new(exclusive_site(), rules(), channel(0));
+    pilot_at(exclusive_site(), owner)
+}
+
+fn pilot_at(site: Site, owner: Option<u16>) -> Harness {
+    let mut harness = Harness::new(site, rules(), channel(0));
     let streams = (0..6).map(|proxy| join(proxy, proxy % 3)).collect();
     let round = initial_round(START, ready_servers(3, 3), streams);
     harness.state.tables.entry(SLICE).or_default().extend(owner.map(|n| (address(n), 1.0)));
@@ -85,3 +89,43 @@
     let safe = START + LEASE + site().max_write_duration;
     assert_named_soon_after(named_at(&mut harness, START), safe);
 }
+
+/// When the slice gets a new owner after its owner was removed, where a proxy's stream is reported lost `lost_after`
+/// seconds after the removal. Both times are relative to the removal.
+fn named_after_removal(site: Site, lost_after: Option<f64>) -> f64 {
+    let mut harness = pilot_at(site, Some(1));
+    let removed = START + 20.0;
+    let mut rounds = vec![list_change(removed, vec![entry(1, 1, Readiness::Draining, 0.0)])];
+    rounds.extend(lost_after.map(|after| Round {
+        streams: vec![Stream { up: false, ..join(3, 0) }],
+        ..round_at(removed + after)
+    }));
+    rounds.sort_by(|a, b| a.now.total_cmp(&b.now));
+    let mut now = rounds[0].now;
+    for round in rounds {
+        while now + STEP < round.now {
+            now += STEP;
+            harness.round(&round_at(now));
+        }
+        now = round.now;
+        harness.round(&round);
+    }
+    assert!(harness.state.table(SLICE).is_empty(), "named before the rounds of the test have ended");
+    named_at(&mut harness, now) - removed
+}
+
+/// Guards against writes at two servers where a proxy does not receive the removal of an owner, as its stream broke
+/// a moment before: it goes on sending writes for a lease.
+#[test]
+fn a_removal_waits_for_the_lease_of_proxies_whose_stream_broke() {
+    let write = site().max_write_duration;
+    let delivery = channel(0).max_delivery_delay;
+    assert_named_soon_after(named_after_removal(exclusive_site(), None), delivery + write);
+    for lost in [-1.0, 0.2] {
+        assert_named_soon_after(named_after_removal(exclusive_site(), Some(lost)), lost + LEASE + write);
+    }
+    // A loss that is reported after the removal has arrived may have come before.
+    assert_named_soon_after(named_after_removal(exclusive_site(), Some(3.0)), delivery + LEASE + write);
+    let short_writes = Site { max_write_duration: 0.5, ..exclusive_site() };
+    assert_named_soon_after(named_after_removal(short_writes, Some(2.9)), delivery + LEASE + 0.5);
+}
