Count the wait for a former owner's writes from when its removal has left the channel

Callers could see writes of a slice at two servers at a time after a drain that takes the channel a while: for many slices or many proxies the removal reaches the last proxy later than the longest way of a message after the decision.

Cause: as in the takeover of a slice, the wait took a removal for received by every proxy within the longest way of a message, which is counted from the channel, not from the decision.

Evidence: the test failed before ('an owner is named at 74.55, while writes may go on until 74.95'; 150 proxies, 2,000 lines a second).

Fix: the account of a channel knows when the lines of slice orders have left it at the stated rate, and the wait begins then.

Measured: the package's tests pass.

--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -23,6 +23,9 @@
         self.apply_slice_assignments(&round.slice_assignments, now);
         let mut loads = self.slice_loads(now);
         let mut slices = std::mem::take(&mut self.slices);
+        let joined = self.proxies.values().filter(|proxy| proxy.joined).count();
+        let order_lines = (self.channel.header_lines + 1.0) * joined as f64;
+        let (mut removed, mut orders) = (Vec::new(), 0);
         for (number, slice) in &mut slices {
             let max_lines = URGENT_QUEUE_SHARE * self.channel.max_waiting_lines / 2.0;
             let is_served = !slice.servers.is_empty() && slice.servers.iter().all(|a| loads.contains_key(a));
@@ -32,7 +35,9 @@
             for server in slice.servers.extract_if(.., |a| !loads.contains_key(a)) {
                 out.set_weight(*number, server, 0.0);
                 slice.removal_received_at = now + self.channel.max_delivery_delay;
-                self.charge_slice_order();
+                removed.push(*number);
+                orders += 1;
+                self.queue.charge_ordinary(order_lines);
             }
             if !slice.servers.is_empty() || now < self.earliest_handover(slice) {
                 continue;
@@ -40,10 +45,17 @@
             if let Some(server) = take_least_loaded(&mut loads) {
                 out.set_weight(*number, server, 1.0);
                 slice.servers.push(server);
-                self.charge_slice_order();
+                orders += 1;
+                self.queue.charge_ordinary(order_lines);
             }
         }
         self.slices = slices;
+        let sending_time = self.send_slice_orders(orders, joined, now);
+        for number in removed {
+            if let Some(slice) = self.slices.get_mut(&number) {
+                slice.removal_received_at += sending_time;
+            }
+        }
     }
 
     /// Applies the slices that the store assigned to this pilot or took away.
@@ -76,10 +88,12 @@
         loads.filter(|(_, load)| load.slices <= load.max_slices).collect()
     }
 
-    /// Accounts for an order of a slice, which goes to all joined proxies.
-    fn charge_slice_order(&mut self) {
-        let joined = self.proxies.values().filter(|proxy| proxy.joined).count() as f64;
-        self.queue.charge_ordinary((self.channel.header_lines + 1.0) * joined);
+    /// Accounts for a message with the orders of a round to each of `proxies` proxies. Returns the time until the
+    /// last one has left a channel that sends at the stated rate, in seconds.
+    fn send_slice_orders(&mut self, orders: usize, proxies: usize, now: f64) -> f64 {
+        let messages = if orders > 0 { proxies } else { 0 };
+        let lines = (self.channel.header_lines + orders as f64) * messages as f64;
+        self.queue.time_to_send(lines, self.channel.lines_per_second, now)
     }
 
     /// When a slice without a server may get a new one: where its owner is exclusive, the writes at any former
--- a/src/state.rs
+++ b/src/state.rs
@@ -289,6 +289,8 @@
     /// Level of a leaky bucket that limits the long-term rate of ordinary lines.
     pub ordinary_lines: f64,
     last_drained_at: f64,
+    /// When the lines given to `time_to_send` have left.
+    sent_at: f64,
     last_acknowledged_at: f64,
 }
 
@@ -307,6 +309,13 @@
         self.ordinary_lines += lines;
     }
 
+    /// Adds lines that leave after those added before, at `rate` lines a second. Returns the time until all of
+    /// them have left, in seconds.
+    pub fn time_to_send(&mut self, lines: f64, rate: f64, now: f64) -> f64 {
+        self.sent_at = self.sent_at.max(now) + lines / rate;
+        self.sent_at - now
+    }
+
     /// The number to mark this round's messages with, if there are any.
     pub fn mark(&mut self, now: f64) -> Option<u64> {
         if self.current.messages == 0.0 {
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -129,3 +129,22 @@
     let short_writes = Site { max_write_duration: 0.5, ..exclusive_site() };
     assert_named_soon_after(named_after_removal(short_writes, Some(2.9)), delivery + LEASE + 0.5);
 }
+
+/// Guards against writes at two servers where a removal waits in the channel behind other lines before it is sent.
+#[test]
+fn a_removal_that_waits_in_the_channel_has_not_been_received() {
+    let (proxies, slices) = (150, 2);
+    let mut harness = Harness::new(Site { slices, ..exclusive_site() }, rules(), channel(0));
+    let streams = (0..proxies).map(|proxy| join(proxy, proxy % 3)).collect();
+    let assigned = |slice| SliceAssignment { slice, ..assignment(true, Some(1)) };
+    let round = initial_round(START, ready_servers(3, 3), streams);
+    harness.round(&Round { slice_assignments: vec![assigned(0), assigned(SLICE)], ..round });
+    let removed = START + 20.0;
+    harness.round(&list_change(removed, vec![entry(1, 1, Readiness::Draining, 0.0)]));
+    assert!(harness.state.table(SLICE).is_empty());
+    // One message with both removals goes to each proxy.
+    let lines = f64::from(proxies) * (channel(0).header_lines + slices as f64);
+    let received = removed + lines / channel(0).lines_per_second + channel(0).max_delivery_delay;
+    let safe = received + site().max_write_duration;
+    assert_named_soon_after(named_at(&mut harness, removed), safe);
+}
