Take an owner's removal for received when every proxy has acknowledged it

Callers could see writes of a slice at two servers at a time after a drain on a channel slower than stated, or where a proxy stood still: it had not received the removal, while others wrote to the new owner.

Cause: as in the takeover of a slice, the wait took a removal for received after the stated times; with slices no marks were written, so that nothing told otherwise.

Evidence: the test failed before ('an owner is named at 4.55, while writes may go on until 8.5', after the removal; one of six proxies acknowledges 4.5 s after it).

Fix: slice orders carry a mark, and each proxy remembers since when it has not acknowledged. The wait begins when all joined proxies have acknowledged the removal. Proxies that are behind are considered gone after 5 s as for tables, so that one of them does not hold up slices for good (two tests). Where no proxy acknowledges at all the stated times count, as before.

Measured: the package's tests pass.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -105,6 +105,7 @@
     /// Processes the inputs of one round and writes the resulting orders to `out`.
     pub fn round(&mut self, round: &Round, out: &mut dyn Writer) {
         let now = round.now;
+        let received_before = self.queue.received_before(&self.proxies, now, ACKNOWLEDGE_TIMEOUT);
         self.times.last_report_at.get_or_insert(now);
         for list in &round.lists {
             self.apply_list(list, now);
@@ -166,14 +167,17 @@
         // waiting until its own or a later acknowledgement shows that it has left. This covers any stall on
         // the way; late acknowledgements mean that less is written.
         let rate = self.channel.lines_per_second * ORDINARY_RATE_SHARE;
+        if self.site.slices > 0 {
+            self.queue.record_received(&round.acknowledgements, &mut self.proxies);
+        }
         self.queue.acknowledge(&round.acknowledgements, now, ACKNOWLEDGE_TIMEOUT, rate);
         if self.site.slices > 0 {
-            self.update_slices(round, now, out);
+            self.update_slices(&round.slice_assignments, received_before, now, out);
         } else if cycle || topology_changed || now >= self.times.next_recheck {
             self.send_tables(cycle, now, out);
-            if let Some(number) = self.queue.mark(now) {
-                out.mark(number, false);
-            }
+        }
+        if let Some(number) = self.queue.mark(now) {
+            out.mark(number, false);
         }
         if now >= self.times.next_recheck {
             self.times.next_recheck = now + RECHECK_INTERVAL;
--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -1,7 +1,7 @@
 //! Assignment of slices to servers.
 
 use super::{Balancer, URGENT_QUEUE_SHARE};
-use crate::round::{Address, Round, SliceAssignment, Writer};
+use crate::round::{Address, SliceAssignment, Writer, MARK_LINES};
 use crate::state::{Server, Slice};
 use std::collections::BTreeMap;
 
@@ -19,12 +19,21 @@
     /// Assigns slices with the fewest changes allowed: a slice whose server drains, is gone or was never
     /// named gets the ready server with the fewest slices. Where a slice has an exclusive owner, the old one
     /// is removed first and its writes get time to finish.
-    pub(super) fn update_slices(&mut self, round: &Round, now: f64, out: &mut dyn Writer) {
-        self.apply_slice_assignments(&round.slice_assignments, now);
+    ///
+    /// All proxies had received the messages written before `received_before` when this round began; those that
+    /// acknowledged a later one in it, or lost their stream, may have sent writes until now.
+    pub(super) fn update_slices(
+        &mut self,
+        assignments: &[SliceAssignment],
+        received_before: f64,
+        now: f64,
+        out: &mut dyn Writer,
+    ) {
+        self.apply_slice_assignments(assignments, now);
         let mut loads = self.slice_loads(now);
         let mut slices = std::mem::take(&mut self.slices);
-        let joined = self.proxies.values().filter(|proxy| proxy.joined).count();
-        let order_lines = (self.channel.header_lines + 1.0) * joined as f64;
+        let joined = self.proxies.values().filter(|proxy| proxy.joined).count() as f64;
+        let order_lines = (self.channel.header_lines + 1.0) * joined;
         let (mut removed, mut orders) = (Vec::new(), 0);
         for (number, slice) in &mut slices {
             let max_lines = URGENT_QUEUE_SHARE * self.channel.max_waiting_lines / 2.0;
@@ -34,11 +43,15 @@
             }
             for server in slice.servers.extract_if(.., |a| !loads.contains_key(a)) {
                 out.set_weight(*number, server, 0.0);
+                slice.removed_at = Some(now);
                 slice.removal_received_at = now + self.channel.max_delivery_delay;
                 removed.push(*number);
                 orders += 1;
                 self.queue.charge_ordinary(order_lines);
             }
+            if slice.removed_at.is_some_and(|at| at >= received_before) {
+                slice.removal_received_at = slice.removal_received_at.max(now);
+            }
             if !slice.servers.is_empty() || now < self.earliest_handover(slice) {
                 continue;
             }
@@ -50,7 +63,7 @@
             }
         }
         self.slices = slices;
-        let sending_time = self.send_slice_orders(orders, joined, now);
+        let sending_time = self.write_slice_orders(orders, now);
         for number in removed {
             if let Some(slice) = self.slices.get_mut(&number) {
                 slice.removal_received_at += sending_time;
@@ -64,8 +77,8 @@
             self.slices.remove(&assignment.slice);
             if assignment.assigned {
                 let servers = assignment.weights.iter().map(|weight| weight.0).collect();
-                self.slices
-                    .insert(assignment.slice, Slice { servers, assigned_at: now, removal_received_at: now });
+                let slice = Slice { servers, assigned_at: now, removed_at: None, removal_received_at: now };
+                self.slices.insert(assignment.slice, slice);
             }
         }
     }
@@ -88,12 +101,17 @@
         loads.filter(|(_, load)| load.slices <= load.max_slices).collect()
     }
 
-    /// Accounts for a message with the orders of a round to each of `proxies` proxies. Returns the time until the
-    /// last one has left a channel that sends at the stated rate, in seconds.
-    fn send_slice_orders(&mut self, orders: usize, proxies: usize, now: f64) -> f64 {
-        let messages = if orders > 0 { proxies } else { 0 };
-        let lines = (self.channel.header_lines + orders as f64) * messages as f64;
-        self.queue.time_to_send(lines, self.channel.lines_per_second, now)
+    /// Accounts for a message with the orders of a round to each joined proxy. Returns the time until the last one
+    /// has left a channel that sends at the stated rate, in seconds.
+    fn write_slice_orders(&mut self, orders: usize, now: f64) -> f64 {
+        let message_lines = self.channel.header_lines + MARK_LINES + orders as f64;
+        let mut messages = 0;
+        for proxy in self.proxies.values_mut().filter(|proxy| proxy.joined && orders > 0) {
+            proxy.unacknowledged_since.get_or_insert(now);
+            messages += 1;
+        }
+        self.queue.write(message_lines, messages);
+        self.queue.time_to_send(message_lines * messages as f64, self.channel.lines_per_second, now)
     }
 
     /// When a slice without a server may get a new one: where its owner is exclusive, the writes at any former
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,6 +103,8 @@
     pub measured_since: Option<f64>,
     /// When messages were written to it within the window of the message cap.
     pub sent_at: VecDeque<f64>,
+    /// When the oldest message was written that it has not acknowledged, where slice orders were written to it.
+    pub unacknowledged_since: Option<f64>,
 }
 
 impl Proxy {
@@ -138,6 +140,7 @@
             received: Vec::new(),
             measured_since: None,
             sent_at: VecDeque::new(),
+            unacknowledged_since: None,
         }
     }
 }
@@ -148,8 +151,10 @@
     pub servers: Vec<Address>,
     /// When it was assigned to this pilot.
     pub assigned_at: f64,
-    /// When the proxies with a stream have received the last removal of a server by this pilot; the time of the
-    /// assignment where there was none.
+    /// When this pilot last removed a server from it.
+    pub removed_at: Option<f64>,
+    /// When the proxies with a stream have received that removal; the time of the assignment where there was
+    /// none.
     pub removal_received_at: f64,
 }
 
@@ -275,6 +280,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Mark {
     number: u16,
+    written_at: f64,
     lines: f64,
     messages: f64,
 }
@@ -292,6 +298,8 @@
     /// When the lines given to `time_to_send` have left.
     sent_at: f64,
     last_acknowledged_at: f64,
+    /// When the newest message was written that a proxy has acknowledged.
+    acknowledged_until: Option<f64>,
 }
 
 impl Queue {
@@ -324,7 +332,7 @@
         if self.marks.is_empty() {
             self.last_acknowledged_at = now;
         }
-        self.marks.push_back(self.current);
+        self.marks.push_back(Mark { written_at: now, ..self.current });
         self.current = Mark { number: self.current.number.wrapping_add(1), ..Mark::default() };
         self.marks.back().map(|mark| u64::from(mark.number))
     }
@@ -352,6 +360,38 @@
         self.last_drained_at = now;
     }
 
+    /// Records which messages the proxies have received, before `acknowledge` forgets their marks.
+    pub fn record_received(
+        &mut self,
+        acknowledgements: &[Acknowledgement],
+        proxies: &mut BTreeMap<u16, Proxy>,
+    ) {
+        for acknowledgement in acknowledgements {
+            let mut later = self.marks.iter();
+            let mark = later.find(|mark| u64::from(mark.number) == acknowledgement.number);
+            if let (Some(mark), Some(proxy)) = (mark, proxies.get_mut(&acknowledgement.proxy)) {
+                proxy.unacknowledged_since = later.next().map(|mark| mark.written_at);
+                let written_at = self.acknowledged_until.unwrap_or(mark.written_at).max(mark.written_at);
+                self.acknowledged_until = Some(written_at);
+            }
+        }
+    }
+
+    /// All joined proxies have received the messages written before this time. It is infinite where proxies
+    /// don't acknowledge. Those that are behind are considered gone when no proxy has acknowledged anything for
+    /// `timeout` seconds, and when others have received messages that were written so much later.
+    pub fn received_before(&self, proxies: &BTreeMap<u16, Proxy>, now: f64, timeout: f64) -> f64 {
+        let Some(acknowledged_until) = self.acknowledged_until else {
+            return f64::INFINITY;
+        };
+        if now - self.last_acknowledged_at > timeout {
+            return f64::INFINITY;
+        }
+        let joined = proxies.values().filter(|proxy| proxy.joined);
+        let pending = joined.filter_map(|proxy| proxy.unacknowledged_since);
+        pending.filter(|since| acknowledged_until - since <= timeout).fold(f64::INFINITY, f64::min)
+    }
+
     /// Lines that may still wait in the channel.
     pub fn waiting_lines(&self) -> f64 {
         self.current.lines + self.marks.iter().map(|mark| mark.lines).sum::<f64>()
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -39,6 +39,15 @@
     harness
 }
 
+/// Runs rounds after `now` and before `end`, and sets `now` to `end`.
+fn run_until(harness: &mut Harness, now: &mut f64, end: f64) {
+    while *now + STEP < end {
+        *now += STEP;
+        harness.round(&round_at(*now));
+    }
+    *now = end;
+}
+
 /// Runs rounds after `now` until the slice has an owner again, and returns that moment.
 fn named_at(harness: &mut Harness, mut now: f64) -> f64 {
     while harness.state.table(SLICE).is_empty() {
@@ -103,11 +112,7 @@
     rounds.sort_by(|a, b| a.now.total_cmp(&b.now));
     let mut now = rounds[0].now;
     for round in rounds {
-        while now + STEP < round.now {
-            now += STEP;
-            harness.round(&round_at(now));
-        }
-        now = round.now;
+        run_until(&mut harness, &mut now, round.now);
         harness.round(&round);
     }
     assert!(harness.state.table(SLICE).is_empty(), "named before the rounds of the test have ended");
@@ -148,3 +153,75 @@
     let safe = received + site().max_write_duration;
     assert_named_soon_after(named_at(&mut harness, removed), safe);
 }
+
+/// When the slice gets a new owner after a removal that proxies 0 to 4 acknowledge within 0.3 s and proxy 5 after
+/// `last_after` seconds, if at all; `lost_after` is as in `named_after_removal`.
+fn named_after_acknowledgements(last_after: Option<f64>, lost_after: Option<f64>) -> f64 {
+    let mut harness = pilot(Some(1));
+    let removed = START + 20.0;
+    harness.round(&list_change(removed, vec![entry(1, 1, Readiness::Draining, 0.0)]));
+    let mark = harness.state.mark;
+    let acknowledge = |proxy| mark.map(|number| Acknowledgement { proxy, number });
+    let mut rounds =
+        vec![Round { acknowledgements: (0..5).filter_map(acknowledge).collect(), ..round_at(removed + 0.3) }];
+    rounds.extend(last_after.map(|after| Round {
+        acknowledgements: acknowledge(5).into_iter().collect(),
+        ..round_at(removed + after)
+    }));
+    rounds.extend(lost_after.map(|after| Round {
+        streams: vec![Stream { up: false, ..join(5, 2) }],
+        ..round_at(removed + after)
+    }));
+    let mut now = removed;
+    for round in rounds {
+        run_until(&mut harness, &mut now, round.now);
+        harness.round(&round);
+    }
+    named_at(&mut harness, now) - removed
+}
+
+/// Guards against writes at two servers where the channel is slower than stated or a proxy stands still: a proxy that
+/// has not acknowledged a removal may not have received it.
+#[test]
+fn a_removal_that_a_proxy_has_not_acknowledged_has_not_been_received() {
+    let write = site().max_write_duration;
+    assert_named_soon_after(
+        named_after_acknowledgements(Some(0.3), None),
+        channel(0).max_delivery_delay + write,
+    );
+    assert_named_soon_after(named_after_acknowledgements(Some(4.5), None), 4.5 + write);
+    assert_named_soon_after(named_after_acknowledgements(None, Some(2.0)), 2.0 + LEASE + write);
+}
+
+/// A proxy that never acknowledges must not keep a slice without an owner for good.
+#[test]
+fn a_proxy_that_never_acknowledges_is_considered_gone() {
+    let named = named_after_acknowledgements(None, None);
+    let acknowledge_timeout = 5.0;
+    assert!(named <= 0.3 + acknowledge_timeout + site().max_write_duration + DELAY, "{named}");
+}
+
+/// A proxy that stays behind for good must not hold up the slices that move while others acknowledge.
+#[test]
+fn slices_move_while_a_proxy_never_acknowledges() {
+    let mut harness = pilot(Some(1));
+    let mut owner = 1;
+    let mut now = START + 20.0;
+    for _ in 0..4 {
+        let next = if owner == 1 { 2 } else { 1 };
+        let entries = vec![entry(owner, 1, Readiness::Draining, 0.0), entry(next, 1, Readiness::Ready, 0.0)];
+        let removed = now;
+        harness.round(&list_change(removed, entries));
+        while harness.state.table(SLICE).is_empty() {
+            let mark = harness.state.mark.into_iter();
+            let acknowledgements = mark.flat_map(|number| (0..5).map(move |proxy| (proxy, number)));
+            let acknowledgements =
+                acknowledgements.map(|(proxy, number)| Acknowledgement { proxy, number }).collect();
+            now += STEP;
+            harness.round(&Round { acknowledgements, ..round_at(now) });
+            assert!(now < removed + 5.0 + site().max_write_duration + DELAY, "no owner since {removed}");
+        }
+        owner = (0..3).find(|n| harness.state.table(SLICE).contains_key(&address(*n))).expect("an owner");
+        now += 1.0;
+    }
+}
