Watch for missing acknowledgements of a removal while the channel is full as well

The test failed before ('an owner is named at 75.05, while writes may go on until 75.4'). The check comes first now.

--- a/src/balance/slices.rs
+++ b/src/balance/slices.rs
@@ -36,6 +36,9 @@
         let order_lines = (self.channel.header_lines + 1.0) * joined;
         let (mut removed, mut orders) = (Vec::new(), 0);
         for (number, slice) in &mut slices {
+            if slice.removed_at.is_some_and(|at| at >= received_before) {
+                slice.removal_received_at = slice.removal_received_at.max(now);
+            }
             let max_lines = URGENT_QUEUE_SHARE * self.channel.max_waiting_lines / 2.0;
             let is_served = !slice.servers.is_empty() && slice.servers.iter().all(|a| loads.contains_key(a));
             if is_served || self.queue.ordinary_lines > max_lines {
@@ -49,9 +52,6 @@
                 orders += 1;
                 self.queue.charge_ordinary(order_lines);
             }
-            if slice.removed_at.is_some_and(|at| at >= received_before) {
-                slice.removal_received_at = slice.removal_received_at.max(now);
-            }
             if !slice.servers.is_empty() || now < self.earliest_handover(slice) {
                 continue;
             }
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -135,23 +135,43 @@
     assert_named_soon_after(named_after_removal(short_writes, Some(2.9)), delivery + LEASE + 0.5);
 }
 
-/// Guards against writes at two servers where a removal waits in the channel behind other lines before it is sent.
-#[test]
-fn a_removal_that_waits_in_the_channel_has_not_been_received() {
+/// A pilot that has just removed the owner of two slices, which fills a channel with 150 proxies, and the moment when
+/// the last of them receives that at the stated rate: one message with both orders goes to each.
+fn removal_that_fills_the_channel(removed: f64) -> (Harness, f64) {
     let (proxies, slices) = (150, 2);
     let mut harness = Harness::new(Site { slices, ..exclusive_site() }, rules(), channel(0));
     let streams = (0..proxies).map(|proxy| join(proxy, proxy % 3)).collect();
     let assigned = |slice| SliceAssignment { slice, ..assignment(true, Some(1)) };
     let round = initial_round(START, ready_servers(3, 3), streams);
     harness.round(&Round { slice_assignments: vec![assigned(0), assigned(SLICE)], ..round });
-    let removed = START + 20.0;
     harness.round(&list_change(removed, vec![entry(1, 1, Readiness::Draining, 0.0)]));
     assert!(harness.state.table(SLICE).is_empty());
-    // One message with both removals goes to each proxy.
     let lines = f64::from(proxies) * (channel(0).header_lines + slices as f64);
-    let received = removed + lines / channel(0).lines_per_second + channel(0).max_delivery_delay;
-    let safe = received + site().max_write_duration;
-    assert_named_soon_after(named_at(&mut harness, removed), safe);
+    (harness, removed + lines / channel(0).lines_per_second + channel(0).max_delivery_delay)
+}
+
+/// Guards against writes at two servers where a removal waits in the channel behind other lines before it is sent.
+#[test]
+fn a_removal_that_waits_in_the_channel_has_not_been_received() {
+    let removed = START + 20.0;
+    let (mut harness, received) = removal_that_fills_the_channel(removed);
+    assert_named_soon_after(named_at(&mut harness, removed), received + site().max_write_duration);
+}
+
+/// Guards against the same where an acknowledgement is missing while the channel is too full for other orders.
+#[test]
+fn a_full_channel_does_not_hide_a_missing_acknowledgement() {
+    let removed = START + 20.0;
+    let (mut harness, received) = removal_that_fills_the_channel(removed);
+    let number = harness.state.mark.expect("a mark");
+    let mut now = removed;
+    for (after, proxies) in [(0.4, 0..149), (1.4, 149..150)] {
+        run_until(&mut harness, &mut now, removed + after);
+        let acknowledgements = proxies.map(|proxy| Acknowledgement { proxy, number }).collect();
+        harness.round(&Round { acknowledgements, ..round_at(now) });
+    }
+    assert!(now > received);
+    assert_named_soon_after(named_at(&mut harness, now), now + site().max_write_duration);
 }
 
 /// When the slice gets a new owner after a removal that proxies 0 to 4 acknowledge within 0.3 s and proxy 5 after
@@ -225,3 +245,33 @@
         now += 1.0;
     }
 }
+
+/// quiet time must not count as silence after it.
+#[test]
+fn a_quiet_time_before_a_removal_does_not_count_as_silence() {
+    let mut harness = pilot(Some(1));
+    let earlier = START + 20.0;
+    let moved = Round {
+        slice_assignments: vec![SliceAssignment { slice: 2, ..assignment(true, Some(2)) }],
+        ..round_at(earlier)
+    };
+    harness.round(&moved);
+    harness.round(&list_change(earlier + 0.1, vec![entry(2, 2, Readiness::Draining, 0.0)]));
+    let acknowledge = |harness: &Harness, proxies: std::ops::Range<u16>| {
+        let number = harness.state.mark.expect("a mark");
+        proxies.map(|proxy| Acknowledgement { proxy, number }).collect::<Vec<_>>()
+    };
+    let all = acknowledge(&harness, 0..6);
+    let mut now = earlier + 0.4;
+    harness.round(&Round { acknowledgements: all, ..round_at(now) });
+    let removed = earlier + 4.9;
+    run_until(&mut harness, &mut now, removed);
+    harness.round(&list_change(removed, vec![entry(1, 1, Readiness::Draining, 0.0)]));
+    let all = acknowledge(&harness, 0..6);
+    for (after, proxies) in [(1.0, 0..5), (3.0, 5..6)] {
+        run_until(&mut harness, &mut now, removed + after);
+        let acknowledgements = all[proxies].to_vec();
+        harness.round(&Round { acknowledgements, ..round_at(now) });
+    }
+    assert_named_soon_after(named_at(&mut harness, now), removed + 3.0 + site().max_write_duration);
+}
