--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,7 +20,7 @@
 pub use flows::{flows_by_capacity, flows_by_plan};
 
 use crate::rng::Rng;
-use crate::round::{Address, Beliefs, Channel, Plan, QueryClass, Round, Rules, Site, Writer};
+use crate::round::{Address, Beliefs, Channel, Plan, QueryClass, Round, Rules, Site, Stream, Writer};
 use crate::state::{Admission, Proxy, Queue, Server, Slice, Table, Times};
 use std::collections::BTreeMap;
 
@@ -110,15 +110,7 @@
         for list in &round.lists {
             self.apply_list(list, now);
         }
-        for stream in &round.streams {
-            let zone = usize::from(stream.zone).min(self.site.zones - 1);
-            let proxy = self.proxies.entry(stream.proxy).or_default();
-            if proxy.joined {
-                self.times.stream_lost_at = now;
-            }
-            let (group, rate) = (proxy.group, stream.rate);
-            *proxy = Proxy { zone, group, rate, joined: stream.up, ..Proxy::default() };
-        }
+        self.apply_streams(&round.streams, now);
         self.plan = round.plan.clone().map(|plan| (now, plan)).or(self.plan.take());
         let topology_changed = !round.lists.is_empty() || !round.streams.is_empty();
         if topology_changed {
@@ -185,6 +177,19 @@
         }
     }
 
+    /// Applies streams that came up or broke. A proxy keeps only its group from one stream to the next.
+    fn apply_streams(&mut self, streams: &[Stream], now: f64) {
+        for stream in streams {
+            let zone = usize::from(stream.zone).min(self.site.zones - 1);
+            let proxy = self.proxies.entry(stream.proxy).or_default();
+            if proxy.joined {
+                self.times.stream_lost_at = now;
+            }
+            let (group, rate) = (proxy.group, stream.rate);
+            *proxy = Proxy { zone, group, rate, joined: stream.up, ..Proxy::default() };
+        }
+    }
+
     /// The estimates that orders at this moment are based on.
     pub fn beliefs(&self, now: f64) -> Beliefs {
         let count = |condition: &dyn Fn(&Server) -> bool| {
