Review: a pilot ends with the case that started it, however that ends

Cause: a case that is ended by a signal left its pilot running. Done: the pilot asks the system to be killed when its parent ends.

--- a/review/world/src/pilot.rs
+++ b/review/world/src/pilot.rs
@@ -7,6 +7,13 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
 /// The value of a key of the deploy file.
 fn deploy_line(root: &Path, key: &str) -> String {
     let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
@@ -48,6 +55,14 @@
         command.env("BALANCER_LISTEN", address.to_string());
         command.env("BALANCER_CONFIG", &path).env("BALANCER_NAME", name).env("TMPDIR", &folder);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).process_group(0);
+        // It ends with this process, however that ends.
+        // SAFETY: `prctl` is async-signal-safe, and neither allocates nor takes a lock.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
         let child = command.spawn().expect("the pilot starts");
         record.say(&format!("pilot {name} started, process {}", child.id()));
         Pilot { child, folder, record: record.clone(), name: name.to_string() }
