Review: the record tells when a request came, not only when its work began

Cause: since requests wait for a core, the record's line was written as the work began. Done: a line of its own at the arrival; the check is untouched.

--- a/review/world/src/endpoints.rs
+++ b/review/world/src/endpoints.rs
@@ -193,6 +193,7 @@
         let proxy = request.split("proxy=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
         if let Some(proxy) = proxy {
             let at = record.now();
+            record.line(&format!("endpoint {}: a request of proxy {proxy} has come", self.id));
             arrivals.lock().unwrap().push(Arrival { at, endpoint: self.id.clone(), proxy });
             match self.take(at, &stream, record) {
                 Some(true) => {
