Limit the silence of an answer of discovery, and read on what is overdue

Cause: Watch::poll limited the whole exchange of a call that doesn't wait to 1 s, whether bytes arrived or not, and closed the connection with what had come. The record shows a new call each 1.1 to 1.8 s while pieces of the answer before came each 0.3 s, and no answer written in full. An answer to a watch that stopped within was noticed only after up to 3 s.

Change: fetch records what arrives (Progress) and limits silence and the whole exchange apart (Timeouts). A request over a limit is a failure and repeated as before (1 s of silence), and its answer is still read until one is complete; at most four, 8 MiB in all. Without the latter, pauses of more than 1 s within each answer would still keep a list out for good. The client of the list has a module of its own.

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! `document` parses a document, `server_list` tracks the listed servers and turns documents into updates of
 //! the list, and `reader` polls the source and stores the last valid list in a file. `platform` implements
-//! the other kind of list, that of the operators' platform, which is watched for changes.
+//! the other kind of list, that of the operators' platform, and `watch` follows its changes.
 
 mod document;
 pub mod platform;
 mod reader;
 mod server_list;
+pub mod watch;
 
 pub use document::{Completeness, Document, ServerEntry};
 pub use reader::{poll, Cache, Source};
--- a/discovery/src/platform.rs
+++ b/discovery/src/platform.rs
@@ -1,12 +1,10 @@
-//! The server list of the operators' platform: its documents, a registry of the listed servers, and a client
-//! that watches the list.
+//! The server list of the operators' platform: its documents, and a registry of the listed servers.
 //!
 //! The platform gives each server a name, which is the same for all pilots, and an address, which may differ
 //! between pilots. The decision logic identifies servers by short IDs in the form of an [`Address`], which
 //! [`ServerRegistry`] allocates.
 
 use oatlever::round::{Address, Entry, List, ListKind, Readiness};
-use oatlever_fetch::{self as fetch, SingleThreaded};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -19,10 +17,6 @@
 /// still contain them. Beyond it, those removed first are dropped: new servers come with new names, so
 /// without a limit the registry would grow for as long as the pilot runs.
 const MAX_REMOVED: usize = 512;
-/// Maximum size of a document, in bytes. A list of tens of thousands of servers fits.
-const MAX_DOCUMENT_BYTES: usize = 8 << 20;
-/// The path of the list on the platform's discovery service.
-const PATH: &str = "/v1/endpoints";
 
 /// One server of a document.
 #[derive(Clone, Debug, PartialEq)]
@@ -284,70 +278,3 @@
         (self.listed.len(), self.removed.len())
     }
 }
-
-/// A poll of the list failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WatchError {
-    pub message: String,
-    /// The discovery service answered, but not with a usable document.
-    pub answered: bool,
-}
-
-/// A client of the discovery service, which reuses one connection for as long as it stays open.
-#[derive(Default)]
-pub struct Watch {
-    connection: Option<fetch::Connection>,
-}
-
-impl Watch {
-    /// Requests the full list, or the changes after version `after`, for which the service may wait up to
-    /// `wait` seconds. Cancel-safe: the future may be dropped at any time.
-    ///
-    /// Fails if there is no answer within `timeout` seconds on top of `wait`, or if the answer is not a valid
-    /// list.
-    pub async fn poll(
-        &mut self,
-        host: SocketAddr,
-        after: Option<u64>,
-        zones: &[String],
-        (wait, timeout): (f64, f64),
-    ) -> Result<PlatformDocument, WatchError> {
-        let (path, wait) = match after {
-            None => (PATH.to_string(), 0.0),
-            Some(version) => (format!("{PATH}?index={version}&wait={}", (wait * 1000.0) as u64), wait),
-        };
-        // Taken out, so that a request that is cancelled does not leave a connection in use behind.
-        let connection = self.connection.take().filter(|connection| connection.host() == host);
-        let request = async {
-            if let Some(mut connection) = connection {
-                // The service may have closed the idle connection; then the request is repeated on a new one.
-                match connection.get(&path, false, MAX_DOCUMENT_BYTES).await {
-                    Err(fetch::Error::Broken(_)) => {}
-                    other => return other.map(|answer| (connection, answer)),
-                }
-            }
-            // Connecting has the shorter timeout, so that an unreachable machine does not take the whole
-            // wait.
-            let mut connection = fetch::with_timeout::<SingleThreaded, _>(
-                timeout,
-                fetch::Connection::connect::<SingleThreaded>(host, None),
-            )
-            .await?;
-            let answer = connection.get(&path, false, MAX_DOCUMENT_BYTES).await?;
-            Ok((connection, answer))
-        };
-        let result = fetch::with_timeout::<SingleThreaded, _>(wait + timeout, request).await;
-        let error =
-            |answered: bool, cause: String| WatchError { message: format!("{host}: {cause}"), answered };
-        let (connection, answer) = result.map_err(|e| error(false, e.to_string()))?;
-        if answer.status != 200 {
-            return Err(error(true, format!("status {}", answer.status)));
-        }
-        let document = PlatformDocument::parse(&answer.body, zones).map_err(|e| error(true, e))?;
-        if after.is_none() && !document.full {
-            return Err(error(true, "got changes instead of the full list".to_string()));
-        }
-        self.connection = Some(connection);
-        Ok(document)
-    }
-}
--- a/discovery/src/reader.rs
+++ b/discovery/src/reader.rs
@@ -29,9 +29,10 @@
         let unix = |time: SystemTime| time.duration_since(UNIX_EPOCH).ok().map(|t| t.as_secs_f64());
         match self {
             Source::Http(url) => {
-                let answer = fetch::get::<fetch::AsyncIo>(url, None, timeout, max_bytes)
-                    .await
-                    .map_err(|e| e.to_string())?;
+                let answer =
+                    fetch::get::<fetch::AsyncIo>(url, None, fetch::Timeouts::from_total(timeout), max_bytes)
+                        .await
+                        .map_err(|e| e.to_string())?;
                 if answer.status != 200 {
                     return Err(format!("status {}", answer.status));
                 }
--- a/fetch/src/lib.rs
+++ b/fetch/src/lib.rs
@@ -1,6 +1,11 @@
 //! HTTP/1.1 GET requests with limits on time and response size.
 //!
 //! [`get`] opens a connection for one request. [`Connection`] sends several requests on one connection.
+//! [`Timeouts`] tells a response that is still arriving from one that has fallen silent.
+
+mod progress;
+
+pub use progress::{within, Progress, Timeouts};
 
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -8,15 +13,17 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::SendRequest;
+use progress::Counted;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The reactor that provides a call's sockets and timers.
-pub trait Runtime {
+pub trait Runtime: 'static {
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
 
     /// Connects, from the local address `from` if one is given.
@@ -89,8 +96,10 @@
     Connect(std::io::Error),
     /// The connection failed, or the response is not valid HTTP.
     Broken(String),
-    /// The timeout, in seconds, expired.
-    Timeout(f64),
+    /// Nothing arrived for longer than `limit` seconds, after `received` bytes of the response.
+    Silent { limit: f64, received: usize },
+    /// The response was still arriving after `limit` seconds, with `received` bytes of it.
+    TooSlow { limit: f64, received: usize },
     /// The body exceeds the limit, in bytes.
     TooLarge(usize),
 }
@@ -100,7 +109,13 @@
         match self {
             Error::Connect(e) => write!(f, "connection failed: {e}"),
             Error::Broken(cause) => write!(f, "request failed: {cause}"),
-            Error::Timeout(timeout) => write!(f, "no complete response within {timeout} s"),
+            Error::Silent { limit, received: 0 } => write!(f, "no response within {limit} s"),
+            Error::Silent { limit, received } => {
+                write!(f, "response silent for {limit} s after {received} bytes")
+            }
+            Error::TooSlow { limit, received } => {
+                write!(f, "response incomplete after {limit} s, with {received} bytes")
+            }
             Error::TooLarge(max_bytes) => write!(f, "response body exceeds {max_bytes} bytes"),
         }
     }
@@ -112,15 +127,29 @@
     sender: SendRequest<Empty<Bytes>>,
     /// Drives the connection while a request is in flight; `None` once the connection has ended.
     driver: Option<Pin<Box<dyn Future<Output = hyper::Result<()>>>>>,
+    progress: Rc<Progress>,
 }
 
 impl Connection {
-    /// Connects, from the local address `from` if one is given. There is no timeout.
-    pub async fn connect<R: Runtime>(host: SocketAddr, from: Option<SocketAddr>) -> Result<Self, Error> {
+    /// Connects, from the local address `from` if one is given. There is no timeout. `progress` records what
+    /// arrives on the connection.
+    pub async fn connect<R: Runtime>(
+        host: SocketAddr,
+        from: Option<SocketAddr>,
+        progress: Rc<Progress>,
+    ) -> Result<Self, Error> {
+        progress.set_connecting(true);
         let stream = R::connect(host, from).await.map_err(Error::Connect)?;
+        progress.set_connecting(false);
+        let stream = Counted::new(stream, progress.clone());
         let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(broken)?;
-        Ok(Connection { host, sender, driver: Some(Box::pin(driver)) })
+        Ok(Connection { host, sender, driver: Some(Box::pin(driver)), progress })
+    }
+
+    /// What has arrived on the connection since the last [`Progress::restart`].
+    pub fn progress(&self) -> &Rc<Progress> {
+        &self.progress
     }
 
     pub fn host(&self) -> SocketAddr {
@@ -169,18 +198,6 @@
     Error::Broken(e.to_string())
 }
 
-/// Runs `work`, and fails with [`Error::Timeout`] after `timeout` seconds.
-pub async fn with_timeout<R: Runtime, T>(
-    timeout: f64,
-    work: impl Future<Output = Result<T, Error>>,
-) -> Result<T, Error> {
-    let expired = async {
-        R::sleep(Duration::from_secs_f64(timeout)).await;
-        Err(Error::Timeout(timeout))
-    };
-    future::or(work, expired).await
-}
-
 /// Connects on the reactor of `async-io`, from the local address `from` if one is given.
 pub async fn connect(to: SocketAddr, from: Option<SocketAddr>) -> std::io::Result<Async<TcpStream>> {
     match from {
@@ -213,14 +230,17 @@
 
 /// Sends one GET request on a new connection, from the local address `from` if one is given.
 ///
-/// Fails if the whole exchange takes longer than `timeout` seconds or the body exceeds `max_bytes`.
+/// Fails if the exchange exceeds `timeouts` or the body exceeds `max_bytes`.
 pub async fn get<R: Runtime>(
     url: &HttpUrl,
     from: Option<SocketAddr>,
-    timeout: f64,
+    timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<Answer, Error> {
-    let answer =
-        async { Connection::connect::<R>(url.host, from).await?.get(&url.path, true, max_bytes).await };
-    with_timeout::<R, _>(timeout, answer).await
+    let progress = Rc::new(Progress::default());
+    let answer = async {
+        let mut connection = Connection::connect::<R>(url.host, from, progress.clone()).await?;
+        connection.get(&url.path, true, max_bytes).await
+    };
+    within::<R, _>(timeouts, &progress, answer).await
 }
--- a/pilot/src/platform/lists.rs
+++ b/pilot/src/platform/lists.rs
@@ -2,16 +2,18 @@
 
 use super::Pilot;
 use futures_lite::future;
-use oatlever_discovery::platform::{Origin, PlatformDocument, Watch, WatchError};
-use oatlever_reactor::Timer;
+use oatlever_discovery::platform::{Origin, PlatformDocument};
+use oatlever_discovery::watch::{Watch, WatchError, WatchTimeouts};
 use std::rc::Rc;
-use std::time::Duration;
 
-/// Seconds that a watch waits for changes. Short, because a dead connection is noticed only after this time.
-const WATCH_WAIT: f64 = 2.0;
-/// Seconds to wait for an answer beyond the watch's own wait. The agent runs on the same machine and answers at once
-/// or not at all.
-const PATIENCE: f64 = 1.0;
+const TIMEOUTS: WatchTimeouts = WatchTimeouts {
+    // Short, because a dead connection is noticed only after this time.
+    wait: 2.0,
+    // The agent runs on the same machine and starts to answer at once or not at all.
+    silence: 1.0,
+    // The protocol counts an answer as received 6 s after the call at the latest.
+    total: 6.0,
+};
 /// Seconds between an answer and the next request. Short, so that the watch continues; not 0, so that a source that
 /// always answers at once does not take up the whole core.
 const REQUEST_DELAY: f64 = 0.02;
@@ -102,18 +104,21 @@
         retry_delay: RETRY_DELAY,
         last_error: String::new(),
     };
+    let mut next_request_at = pilot.clock.now();
     loop {
         let requested = pilot.list_requested.listen();
         if pilot.request_whole_list.take() {
             (follower.whole, following) = (true, true);
         }
-        if !following {
-            requested.await;
-            continue;
-        }
+        let host = pilot.discovery.get();
         let after = pilot.controller.borrow().register.version.filter(|_| !follower.whole);
-        let wait = (WATCH_WAIT, PATIENCE);
-        let answer = async { Some(watch.poll(pilot.discovery.get(), after, &zones, wait).await) };
+        let pause = following.then(|| (next_request_at - pilot.clock.now()).max(0.0));
+        let answer = async {
+            Some(match watch.overdue_document(host, &zones, pause).await {
+                Some(document) => Ok(document),
+                None => watch.poll(host, after, &zones, TIMEOUTS).await,
+            })
+        };
         let interrupted = async {
             requested.await;
             None
@@ -123,9 +128,9 @@
         let (usable, delay) = follower.handle(answer, &pilot);
         if !usable {
             pilot.controller.borrow_mut().record_list_failure(!always);
-            following = always;
         }
+        following = always || usable;
+        next_request_at = pilot.clock.now() + delay;
         pilot.wake();
-        Timer::after(Duration::from_secs_f64(delay)).await;
     }
 }
--- a/pilot/src/probes.rs
+++ b/pilot/src/probes.rs
@@ -20,8 +20,13 @@
     /// for a free slot.
     pub async fn is_fine<N: fetch::Runtime>(&self, host: SocketAddr, path: String, patience: f64) -> bool {
         let _permit = self.permits.acquire().await;
-        let response =
-            fetch::get::<N>(&fetch::HttpUrl { host, path }, None, patience, MAX_RESPONSE_BYTES).await;
+        let response = fetch::get::<N>(
+            &fetch::HttpUrl { host, path },
+            None,
+            fetch::Timeouts::from_total(patience),
+            MAX_RESPONSE_BYTES,
+        )
+        .await;
         response.is_ok_and(|answer| answer.status == 200)
     }
 }
--- a/reports/src/reader.rs
+++ b/reports/src/reader.rs
@@ -107,7 +107,13 @@
             let Some((target, place)) = schedule.pop_due(now) else { break };
             scrapes.push(async move {
                 let started = Instant::now();
-                let response = fetch::get::<fetch::AsyncIo>(&place, None, timeout, max_bytes).await;
+                let response = fetch::get::<fetch::AsyncIo>(
+                    &place,
+                    None,
+                    fetch::Timeouts::from_total(timeout),
+                    max_bytes,
+                )
+                .await;
                 let result = match response {
                     Ok(response) if response.status == 200 => Exposition::parse(&response.body),
                     Ok(response) => Err(format!("status {}", response.status)),
--- a/standins/src/askers.rs
+++ b/standins/src/askers.rs
@@ -12,7 +12,7 @@
 use domain::base::{Message, MessageBuilder, Name};
 use domain::rdata::{Srv, A};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use oatlever_fetch::{get, Error, HttpUrl};
+use oatlever_fetch::{get, Error, HttpUrl, Timeouts};
 use prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram};
 use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
@@ -309,7 +309,7 @@
         let settings = &world.script.classes[class];
         let host = SocketAddr::from((server, SERVICE_PORT));
         let place = HttpUrl { host, path: format!("/{}/{query}", settings.name) };
-        let left = (start + settings.abandon - world.now()).max(0.01);
+        let left = Timeouts::from_total((start + settings.abandon - world.now()).max(0.01));
         match get::<oatlever_fetch::AsyncIo>(&place, Some(SocketAddr::from((self.host, 0))), left, 1 << 16)
             .await
         {
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
-use oatlever_fetch::{get, HttpUrl};
+use oatlever_fetch::{get, HttpUrl, Timeouts};
 use oatlever_standins::platform::MIN_TERMINATION_GRACE;
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::RefCell;
@@ -230,8 +230,9 @@
     }
     if script.guard.is_some() {
         let place = HttpUrl { host: world.realm.status(), path: "/metrics".to_string() };
-        let page =
-            get::<oatlever_fetch::AsyncIo>(&place, None, 2.0, 1 << 20).await.map_err(|e| e.to_string())?;
+        let page = get::<oatlever_fetch::AsyncIo>(&place, None, Timeouts::from_total(2.0), 1 << 20)
+            .await
+            .map_err(|e| e.to_string())?;
         let text = String::from_utf8_lossy(&page.body).into_owned();
         let lines = || text.lines().filter(|line| line.starts_with("oatlever_guard"));
         if progress {
@@ -312,7 +313,11 @@
     let place = HttpUrl { host: world.realm.status(), path: "/status".to_string() };
     loop {
         Timer::after(Duration::from_millis(250)).await;
-        let Ok(answer) = get::<oatlever_fetch::AsyncIo>(&place, None, 0.5, 64 << 20).await else { continue };
+        let Ok(answer) =
+            get::<oatlever_fetch::AsyncIo>(&place, None, Timeouts::from_total(0.5), 64 << 20).await
+        else {
+            continue;
+        };
         let status: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         if let Some(lines) = status["channel"]["waiting"].as_f64() {
             world.recorder.record(Event::Waiting(lines));
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -28,6 +28,27 @@
     expired: bool,
     /// Faults of the next responses, in order.
     faults: VecDeque<ResponseFault>,
+    /// How responses without a fault are sent; at once if `None`.
+    pieces: Option<Pieces>,
+}
+
+/// How a response is sent in pieces: their number, and the time from one to the next.
+#[derive(Clone, Copy, Debug)]
+pub struct Pieces {
+    pub count: usize,
+    pub gap: Duration,
+}
+
+impl Pieces {
+    fn send(&self, mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
+        for (number, piece) in bytes.chunks(bytes.len().div_ceil(self.count)).enumerate() {
+            if number > 0 {
+                std::thread::sleep(self.gap);
+            }
+            stream.write_all(piece)?;
+        }
+        Ok(())
+    }
 }
 
 /// A fault in a response of the discovery service.
@@ -115,6 +136,16 @@
         self.shared.1.notify_all();
     }
 
+    /// Sends all further responses in pieces.
+    pub fn send_in_pieces(&self, pieces: Pieces) {
+        self.shared.0.lock().expect("no thread panics").pieces = Some(pieces);
+    }
+
+    /// Applies one fault to each of the next responses.
+    pub fn queue_faults(&self, faults: &[ResponseFault]) {
+        self.shared.0.lock().expect("no thread panics").faults.extend(faults);
+    }
+
     /// Applies one fault to each of the next responses and waits until all are used. Returns false on a timeout.
     pub fn inject_faults(&self, faults: &[ResponseFault], timeout: Duration) -> bool {
         let mut shared = self.shared.0.lock().expect("no thread panics");
@@ -167,6 +198,7 @@
 /// Answers the requests of a connection one after another.
 fn serve_connection(stream: TcpStream, shared: &(Mutex<State>, Condvar)) -> io::Result<()> {
     shared.0.lock().expect("no thread panics").connections += 1;
+    stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     loop {
         let mut request_line = String::new();
@@ -211,6 +243,7 @@
             Some(ResponseFault::StaleVersion) => json!({"version": 0, "full": true, "servers": []}),
             _ => json!({"version": state.version, "full": index.is_none(), "servers": servers}),
         };
+        let pieces = state.pieces.unwrap_or(Pieces { count: 1, gap: Duration::ZERO });
         drop(state);
         let body = body.to_string();
         let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
@@ -229,7 +262,7 @@
             Some(ResponseFault::Truncated) => {
                 return (&stream).write_all(&response.as_bytes()[..response.len() - body.len() / 2])
             }
-            _ => (&stream).write_all(response.as_bytes())?,
+            _ => pieces.send(&stream, response.as_bytes())?,
         }
     }
 }
