Accept join messages that take longer to arrive than strangers may be silent

What callers saw: a proxy whose attach message arrived in pieces over more than 1.5 s was rejected at each connection.

--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -18,9 +18,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Seconds after which a connection that has not joined is closed. The protocol allows this from 1 s on and
-/// requires it within 3 s; a join message may arrive in pieces.
-const JOIN_TIMEOUT: f64 = 1.5;
+/// Seconds without input after which a connection that has not joined is closed. The protocol allows this from 1 s on.
+const JOIN_SILENCE: f64 = 1.5;
+/// Seconds after which a connection that has not joined is closed even if its join message is still arriving. The
+/// protocol requires this within 3 s.
+const MAX_JOIN_TIME: f64 = 2.5;
 /// Seconds that pending answers get to be written on shutdown. SIGKILL follows SIGTERM after no less than 0.7 s.
 const SHUTDOWN_GRACE: f64 = 0.3;
 /// Most bytes queued for writing on one connection; a peer that leaves more unread is disconnected.
@@ -44,6 +46,9 @@
     written: Cell<usize>,
     /// Bytes in `output` that are not yet written.
     queued: Cell<usize>,
+    /// When the connection was accepted, and when something last arrived on it.
+    accepted_at: f64,
+    last_input: Cell<f64>,
     /// Nothing more is read from the connection.
     closed: Cell<bool>,
     /// The peer has joined at some time.
@@ -145,7 +150,7 @@
         }
     }
 
-    fn add(&self, stream: Async<TcpStream>) -> Rc<Peer> {
+    fn add(&self, stream: Async<TcpStream>, now: f64) -> Rc<Peer> {
         let id = self.next_id.replace(self.next_id.get() + 1);
         let peer = Rc::new(Peer {
             id,
@@ -154,6 +159,8 @@
             output: RefCell::default(),
             written: Cell::new(0),
             queued: Cell::new(0),
+            accepted_at: now,
+            last_input: Cell::new(now),
             closed: Cell::new(false),
             joined: Cell::new(false),
             wake: Event::new(),
@@ -231,7 +238,7 @@
                 // Table updates are small and must not be delayed by Nagle's algorithm.
                 drop(stream.get_ref().set_nodelay(true));
                 if make_room(&pilot) {
-                    let peer = pilot.connections.add(stream);
+                    let peer = pilot.connections.add(stream, pilot.clock.now());
                     executor.spawn(serve(peer, pilot.clone())).detach();
                 } else {
                     pilot.controller.borrow_mut().counts.full += 1;
@@ -297,18 +304,7 @@
 }
 
 async fn serve(peer: Rc<Peer>, pilot: Rc<Pilot>) {
-    let deadline = async {
-        Timer::after(Duration::from_secs_f64(JOIN_TIMEOUT)).await;
-        // A join message that arrived in time counts even if it has not been read yet.
-        if let Some(end) = read_now(&peer, &pilot) {
-            return end;
-        }
-        if peer.joined.get() {
-            return future::pending().await;
-        }
-        pilot.controller.borrow_mut().counts.refused += 1;
-        End::Refused
-    };
+    let deadline = join_deadline(&peer, &pilot);
     let end = future::or(receive(&peer, &pilot), future::or(transmit(&peer), deadline)).await;
     let joined = peer.joined.get();
     // Queued answers are written before the end, as far as possible without blocking. A stream that was replaced or
@@ -325,6 +321,28 @@
     pilot.wake();
 }
 
+/// Completes when a connection that has not joined must be closed.
+async fn join_deadline(peer: &Peer, pilot: &Pilot) -> End {
+    loop {
+        let silent_at = peer.last_input.get() + JOIN_SILENCE;
+        let deadline = silent_at.min(peer.accepted_at + MAX_JOIN_TIME);
+        let left = deadline - pilot.clock.now();
+        if left <= 0.0 {
+            break;
+        }
+        Timer::after(Duration::from_secs_f64(left)).await;
+        // A join message that arrived in time counts even if it has not been read yet.
+        if let Some(end) = read_now(peer, pilot) {
+            return end;
+        }
+        if peer.joined.get() {
+            return future::pending().await;
+        }
+    }
+    pilot.controller.borrow_mut().counts.refused += 1;
+    End::Refused
+}
+
 async fn receive(peer: &Peer, pilot: &Pilot) -> End {
     loop {
         // A connection closed in this turn is not read any more, as it could join now and be gone at once.
@@ -364,6 +382,7 @@
 /// Splits bytes into messages and handles them. False if the connection must be closed.
 fn handle_input(peer: &Peer, bytes: &[u8], pilot: &Pilot) -> bool {
     let (now, mut valid) = (pilot.clock.now(), true);
+    peer.last_input.set(now);
     let mut input = peer.input.borrow_mut();
     let kept = input.buffered();
     let max_joined = pilot.connections.max_message_bytes(kept);
@@ -385,7 +404,7 @@
                 }
             }
             Reaction::Refuse(why) => {
-                tracing::debug!(peer.number = peer.id, %why, "connection refused");
+                tracing::debug!(connection = peer.id, %why, "connection refused");
                 valid = false;
             }
         }
