Judge a health check by its status, and limit the silence of its answer

What callers saw: a server whose answer to a health check had a late body, or arrived in pieces, was considered unhealthy though its status had come. Cause: the check read the whole answer within one limit on the whole exchange (fetch::get); the body is not used. Change: fetch::status returns with the head; the limit is on silence, the whole may take six times as long. Before: a_server_is_healthy_once_its_status_has_arrived fails on the parent commit. After: it passes; a server that stops within its head, or says nothing, is not healthy, as before. Stand-ins: responses in pieces have a module of their own.

--- a/fetch/src/lib.rs
+++ b/fetch/src/lib.rs
@@ -11,8 +11,9 @@
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncWrite};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::SendRequest;
+use hyper::Response;
 use progress::Counted;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
@@ -161,16 +162,7 @@
     /// After dropping this future before it completes, the connection must not be used again. Fails if the
     /// connection breaks or the body exceeds `max_bytes`.
     pub async fn get(&mut self, path: &str, last: bool, max_bytes: usize) -> Result<Answer, Error> {
-        let mut request = hyper::Request::get(path).header("host", self.host.to_string());
-        if last {
-            request = request.header("connection", "close");
-        }
-        let request = request.body(Empty::<Bytes>::new()).map_err(|e| Error::Broken(e.to_string()))?;
-        let (sender, driver) = (&mut self.sender, &mut self.driver);
-        let answer = async {
-            // A new connection accepts a request only once its driver has been polled.
-            sender.ready().await.map_err(broken)?;
-            let response = sender.send_request(request).await.map_err(broken)?;
+        let read = async |response: Response<Incoming>| {
             let status = response.status().as_u16();
             let date = response.headers().get("date").and_then(|d| d.to_str().ok()).map(str::to_string);
             let body = Limited::new(response.into_body(), max_bytes).collect().await.map_err(|e| {
@@ -181,6 +173,27 @@
             })?;
             Ok(Answer { status, date, body: body.to_bytes().to_vec() })
         };
+        self.exchange(path, last, read).await
+    }
+
+    /// Sends a request and lets `read` take what it needs of the response.
+    async fn exchange<T>(
+        &mut self,
+        path: &str,
+        last: bool,
+        read: impl AsyncFnOnce(Response<Incoming>) -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let mut request = hyper::Request::get(path).header("host", self.host.to_string());
+        if last {
+            request = request.header("connection", "close");
+        }
+        let request = request.body(Empty::<Bytes>::new()).map_err(|e| Error::Broken(e.to_string()))?;
+        let (sender, driver) = (&mut self.sender, &mut self.driver);
+        let answer = async {
+            // A new connection accepts a request only once its driver has been polled.
+            sender.ready().await.map_err(broken)?;
+            read(sender.send_request(request).await.map_err(broken)?).await
+        };
         // If the driver ends first without an error, the outcome comes from the request itself.
         let drive = async {
             if let Some(running) = driver {
@@ -244,3 +257,17 @@
     };
     within::<R, _>(timeouts, &progress, answer).await
 }
+
+/// Like [`get`], but returns the status as soon as the head of the response has arrived, and drops the body.
+pub async fn status<R: Runtime>(
+    url: &HttpUrl,
+    from: Option<SocketAddr>,
+    timeouts: Timeouts,
+) -> Result<u16, Error> {
+    let progress = Rc::new(Progress::default());
+    let answer = async {
+        let mut connection = Connection::connect::<R>(url.host, from, progress.clone()).await?;
+        connection.exchange(&url.path, true, async |response| Ok(response.status().as_u16())).await
+    };
+    within::<R, _>(timeouts, &progress, answer).await
+}
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -44,7 +44,7 @@
 const MAX_CHECKS: usize = 8;
 /// The path that health checks request.
 const HEALTH: &str = "/health";
-/// Timeout of a health check as a multiple of the connect timeout. A later answer is as good as none.
+/// Longest silence of a server during a health check, as a multiple of the connect timeout.
 const CHECK_TIMEOUT_FACTOR: f64 = 3.0;
 /// Seconds between log lines with counters and estimates.
 const STATUS_LOG_PERIOD: f64 = 5.0;
--- a/pilot/tests/messages_in_pieces.rs
+++ b/pilot/tests/messages_in_pieces.rs
@@ -3,7 +3,8 @@
 mod harness;
 
 use harness::{attach, configuration, Pilot, TIMEOUT};
-use oatlever_standins::platform::{Discovery, Peer, Pieces};
+use oatlever_standins::pieces::Pieces;
+use oatlever_standins::platform::{Discovery, Peer};
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -224,7 +224,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Checks {
     pub path: String,
-    /// s; timeout of a check.
+    /// s; longest silence of a server that is checked. A response that keeps arriving may take 6 times as long.
     #[schemars(range(min = 0.01, max = 600.0))]
     pub patience: f64,
 }
