Limit the silence of a service discovery source, not the whole of its answer

What callers saw: a document that took longer to arrive than /roster/patience was never read, and the pilot kept its last list. Cause: one limit on the whole exchange. Change: patience limits silence; the whole may take six times as long. Before: a_document_in_pieces_is_read fails on the parent commit (incomplete after 1 s, with 68 bytes). After: it passes; a source that stops fails after its patience.

--- a/discovery/src/reader.rs
+++ b/discovery/src/reader.rs
@@ -23,16 +23,21 @@
         }
     }
 
-    /// Reads the document. Also returns the Unix time in seconds, by the clock of the source, at which it was
+    /// Reads the document. Fails if the source is silent for `timeout` seconds, or keeps sending for several times
+    /// as long ([`fetch::Timeouts::from_silence`]). Also returns the Unix time in seconds, by the clock of the source, at which it was
     /// sent.
     async fn read(&self, timeout: f64, max_bytes: usize) -> Result<(Vec<u8>, Option<f64>), String> {
         let unix = |time: SystemTime| time.duration_since(UNIX_EPOCH).ok().map(|t| t.as_secs_f64());
         match self {
             Source::Http(url) => {
-                let answer =
-                    fetch::get::<fetch::AsyncIo>(url, None, fetch::Timeouts::from_total(timeout), max_bytes)
-                        .await
-                        .map_err(|e| e.to_string())?;
+                let answer = fetch::get::<fetch::AsyncIo>(
+                    url,
+                    None,
+                    fetch::Timeouts::from_silence(timeout),
+                    max_bytes,
+                )
+                .await
+                .map_err(|e| e.to_string())?;
                 if answer.status != 200 {
                     return Err(format!("status {}", answer.status));
                 }
