Limit the silence of a scrape's target, not the whole of its answer

What callers saw: counters that took longer to arrive than /reports/patience were not read at any scrape. Cause: one limit on the whole exchange. Change: patience limits silence; the whole may take six times as long. Before: counters_in_pieces_are_read fails without the change (incomplete after 1 s, with 76 bytes). After: it passes.

--- a/reports/src/reader.rs
+++ b/reports/src/reader.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Scrapes the targets forever. `period` and `timeout` are in seconds. At most `max_concurrent` scrapes run at once;
+/// Scrapes the targets forever, once per `period` seconds. A scrape fails if its target is silent for `timeout` seconds,
+/// or keeps sending for several times as long ([`fetch::Timeouts::from_silence`]). At most `max_concurrent` scrapes run at once;
 /// the others are delayed.
 pub async fn run(
     handler: impl ScrapeHandler,
@@ -110,7 +111,7 @@
                 let response = fetch::get::<fetch::AsyncIo>(
                     &place,
                     None,
-                    fetch::Timeouts::from_total(timeout),
+                    fetch::Timeouts::from_silence(timeout),
                     max_bytes,
                 )
                 .await;
--- a/settings/src/shape.rs
+++ b/settings/src/shape.rs
@@ -175,7 +175,7 @@
     /// s between requests.
     #[schemars(range(min = 0.05, max = 600.0))]
     pub period: f64,
-    /// s; timeout of a request.
+    /// s; longest silence of the source. A response that keeps arriving may take 6 times as long.
     #[schemars(range(min = 0.01, max = 600.0))]
     pub patience: f64,
     /// Maximum size of the document, in bytes.
@@ -198,7 +198,7 @@
     /// s; each target is scraped once in this time.
     #[schemars(range(min = 0.1, max = 600.0))]
     pub period: f64,
-    /// s; timeout of a scrape.
+    /// s; longest silence of a target. A response that keeps arriving may take 6 times as long.
     #[schemars(range(min = 0.01, max = 600.0))]
     pub patience: f64,
     /// Maximum number of concurrent scrapes.
