Bound the time and the size of a response to a command

What callers saw: a command to a control socket that keeps sending waits without end, and keeps all of it in memory. Cause: the timeout was one of each read; writes and the size had none. Change: 10 s for the whole response (the pilot closes its connection after as long), 64 MiB, 10 s for each write. The client has a module of its own.

--- a/pilot/src/control.rs
+++ b/pilot/src/control.rs
@@ -13,13 +13,12 @@
 use oatlever_tables::{FreezeError, Lines, TableVersion};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::SocketAddrV4;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 
 #[derive(Debug, Subcommand)]
 pub enum Command {
@@ -173,26 +172,6 @@
     Ok(guard_review::explain(guard, now))
 }
 
-/// Sends a request to a pilot's control socket and prints the response. Fails if no pilot listens there, or
-/// with the pilot's message if it refuses the command.
-pub fn send(socket: &Path, (method, path, body): HttpRequest) -> Result<(), String> {
-    let with_path = |e: io::Error| format!("{}: {e}", socket.display());
-    let mut stream = UnixStream::connect(socket).map_err(with_path)?;
-    stream.set_read_timeout(Some(Duration::from_secs(10))).map_err(with_path)?;
-    let length = body.len();
-    let head = format!("host: pilot\r\nconnection: close\r\ncontent-length: {length}");
-    write!(stream, "{method} {path} HTTP/1.1\r\n{head}\r\n\r\n{body}").map_err(with_path)?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).map_err(with_path)?;
-    let (head, body) = answer.split_once("\r\n\r\n").ok_or("the response ends before its body")?;
-    if head.split(' ').nth(1) != Some("200") {
-        return Err(body.trim_end().to_string());
-    }
-    let value: Value = serde_json::from_str(body).map_err(|e| e.to_string())?;
-    println!("{value:#}");
-    Ok(())
-}
-
 /// Listens on a Unix socket. Replaces a socket file without a listener, which a killed pilot leaves behind.
 pub fn bind(path: &str) -> Result<UnixListener, String> {
     let with_path = |e: io::Error| format!("/control/socket: {path}: {e}");
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod control;
+mod control_client;
 mod core;
 mod dns_answers;
 mod guard_check;
@@ -163,21 +164,22 @@
             println!("{:#}", oatlever_settings::schema());
             Ok(())
         }
-        Command::Tables { socket, what } => {
-            what.request().and_then(|request| control::send(&socket, request)).map_err(exit_with(FAILED))
-        }
+        Command::Tables { socket, what } => what
+            .request()
+            .and_then(|request| control_client::send(&socket, request))
+            .map_err(exit_with(FAILED)),
         Command::Holders { socket, server } => {
             let request = ("GET", format!("/holders/{server}"), String::new());
-            control::send(&socket, request).map_err(exit_with(FAILED))
+            control_client::send(&socket, request).map_err(exit_with(FAILED))
         }
         Command::Price { socket, price } => control::price_request(&price)
-            .and_then(|request| control::send(&socket, request))
+            .and_then(|request| control_client::send(&socket, request))
             .map_err(exit_with(FAILED)),
         Command::Plan { model, schema, options } => {
             check_status(plan::run(model.as_deref(), schema, &options))
         }
         Command::Guard { what: Guard::At { socket, what } } => {
-            control::send(&socket, what.request()).map_err(exit_with(FAILED))
+            control_client::send(&socket, what.request()).map_err(exit_with(FAILED))
         }
         Command::Guard { what: Guard::Check { table, state } } => {
             check_status(guard_check::check(&table, &state))
