Limit the silence of an xDS client up to its first request, not the whole time

What callers saw: a proxy whose handshake and first request took longer to arrive than /xds/patience was disconnected at each connection. Cause: limits on the whole time, whether bytes arrived or not.

--- a/fetch/src/lib.rs
+++ b/fetch/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod progress;
 
-pub use progress::{within, Progress, Timeouts};
+pub use progress::{within, Counted, Progress, Timeouts};
 
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -14,7 +14,6 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::Response;
-use progress::Counted;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::future::Future;
--- a/fetch/src/progress.rs
+++ b/fetch/src/progress.rs
@@ -45,31 +45,18 @@
 
 type Sleep = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Records what has arrived of a response.
-#[derive(Debug)]
+/// Records what arrives on a connection.
+#[derive(Debug, Default)]
 pub struct Progress {
-    started: Cell<Instant>,
     /// Since when a connection is being made; `None` once it is.
     connecting_since: Cell<Option<Instant>>,
     last_byte: Cell<Option<Instant>>,
     received: Cell<usize>,
 }
 
-impl Default for Progress {
-    fn default() -> Self {
-        Progress {
-            started: Cell::new(Instant::now()),
-            connecting_since: Cell::default(),
-            last_byte: Cell::default(),
-            received: Cell::default(),
-        }
-    }
-}
-
 impl Progress {
     /// Starts to record a new request.
     pub fn restart(&self) {
-        self.started.set(Instant::now());
         self.connecting_since.set(None);
         self.last_byte.set(None);
         self.received.set(0);
@@ -89,18 +76,18 @@
         self.received.set(self.received.get() + bytes);
     }
 
-    /// When the request exceeds a limit if nothing more arrives, and how it fails then.
-    fn deadline(&self, timeouts: &Timeouts) -> (Instant, Error) {
+    /// When an exchange that began at `started` exceeds a limit if nothing more arrives, and how it fails then.
+    fn deadline(&self, started: Instant, timeouts: &Timeouts) -> (Instant, Error) {
         let after = |from: Instant, seconds: f64| from + Duration::from_secs_f64(seconds);
         let received = self.received();
-        let (mut silent_at, mut limit) = match self.last_byte.get() {
-            None => (after(self.started.get(), timeouts.first_byte), timeouts.first_byte),
+        let (mut silent_at, mut limit) = match self.last_byte.get().filter(|last| *last >= started) {
+            None => (after(started, timeouts.first_byte), timeouts.first_byte),
             Some(last) => (after(last, timeouts.silence), timeouts.silence),
         };
         if let Some(since) = self.connecting_since.get() {
             (silent_at, limit) = (silent_at.min(after(since, timeouts.connect)), timeouts.connect);
         }
-        let ends_at = after(self.started.get(), timeouts.total);
+        let ends_at = after(started, timeouts.total);
         if silent_at <= ends_at {
             (silent_at, Error::Silent { limit, received })
         } else {
@@ -108,14 +95,15 @@
         }
     }
 
-    /// Completes when the request exceeds a limit.
+    /// Completes when an exchange that begins now exceeds a limit.
     ///
-    /// Must be polled by the task that reads the connection, after each read: the first byte may bring the
-    /// deadline forward, and nothing else wakes this future then.
-    async fn exceeded<R: Runtime>(&self, timeouts: &Timeouts) -> Error {
+    /// Unless `first_byte` is at most `silence`, this must be polled by the task that reads the connection, after
+    /// each read: the first byte may bring the deadline forward, and nothing else wakes this future then.
+    pub async fn exceeded<R: Runtime>(&self, timeouts: &Timeouts) -> Error {
+        let started = Instant::now();
         let mut timer: Option<(Instant, Sleep)> = None;
         poll_fn(|context| loop {
-            let (deadline, error) = self.deadline(timeouts);
+            let (deadline, error) = self.deadline(started, timeouts);
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Poll::Ready(error);
@@ -142,13 +130,13 @@
 }
 
 /// A stream that records what is read from it.
-pub(crate) struct Counted<S> {
+pub struct Counted<S> {
     stream: S,
     progress: Rc<Progress>,
 }
 
 impl<S> Counted<S> {
-    pub(crate) fn new(stream: S, progress: Rc<Progress>) -> Self {
+    pub fn new(stream: S, progress: Rc<Progress>) -> Self {
         Counted { stream, progress }
     }
 }
--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response};
 use oatlever::round::Address;
+use oatlever_fetch::{AsyncIo, Counted, Progress, Timeouts};
 use oatlever_identity::{Peer, TlsKeys};
 use oatlever_tables::View;
 use smol_hyper::rt::FuturesIo;
@@ -63,8 +64,8 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// s; a stream ends if its proxy does not answer a response within this time, and a connection if it makes no
-    /// request within it.
+    /// s; a stream ends if its proxy does not answer a response within this time, and a connection if it is silent for
+    /// this long before it has made a request.
     pub response_timeout: f64,
     pub max_message_bytes: usize,
     pub max_connections: usize,
@@ -72,6 +73,14 @@
     pub report_period: f64,
 }
 
+impl Limits {
+    /// Limits on the time of a first request. A proxy that has none yet holds no table, so that its request may take
+    /// longer to arrive than an answer.
+    fn request_timeouts(&self) -> Timeouts {
+        Timeouts::from_silence(self.response_timeout)
+    }
+}
+
 /// The state shared by all connections.
 pub struct Server<B> {
     pub backend: B,
@@ -501,6 +510,14 @@
     }
 }
 
+/// A connection that requests arrive on.
+#[derive(Clone)]
+struct Connection {
+    /// The identity in the client certificate, if there is one.
+    peer: Option<Rc<Peer>>,
+    progress: Rc<Progress>,
+}
+
 type GrpcResponse = Response<Either<StreamBody<Messages>, Empty<Bytes>>>;
 
 fn grpc_response(messages: Option<Messages>) -> GrpcResponse {
@@ -523,12 +540,11 @@
 async fn serve_discovery<B: Backend + 'static, M: DiscoveryMessage + 'static>(
     server: Rc<Server<B>>,
     mut reader: Reader<Incoming>,
-    peer: Option<Rc<Peer>>,
+    connection: Connection,
     executor: Rc<LocalExecutor<'static>>,
 ) -> GrpcResponse {
-    let timeout = Duration::from_secs_f64(server.limits.response_timeout);
     let timed_out = async {
-        Timer::after(timeout).await;
+        connection.progress.exceeded::<AsyncIo>(&server.limits.request_timeouts()).await;
         Err(Status::new(Code::DeadlineExceeded, "no first request in time"))
     };
     let first: M = match future::or(reader.next(), timed_out).await {
@@ -536,7 +552,7 @@
         Ok(None) => return status_response(&Status::new(Code::InvalidArgument, "no request")),
         Err(status) => return status_response(&status),
     };
-    let stream = match server.open_stream(first.node(), peer.as_deref(), M::VARIANT) {
+    let stream = match server.open_stream(first.node(), connection.peer.as_deref(), M::VARIANT) {
         Ok(stream) => stream,
         Err(status) => {
             *server.counts.borrow_mut().streams_ended.entry("refused").or_default() += 1;
@@ -639,27 +655,30 @@
 /// Serves HTTP/2 on a connection until it ends. Sets `received_request` on the first request.
 async fn serve_http<B: Backend + 'static>(
     socket: impl AsyncRead + AsyncWrite + Unpin + 'static,
-    peer: Option<Rc<Peer>>,
+    connection: Connection,
     server: Rc<Server<B>>,
     executor: Rc<LocalExecutor<'static>>,
     received_request: &Cell<bool>,
 ) {
     let service = service_fn(|request: hyper::Request<Incoming>| {
         received_request.set(true);
-        let (server, peer, executor) = (server.clone(), peer.clone(), executor.clone());
+        let (server, connection, executor) = (server.clone(), connection.clone(), executor.clone());
         async move {
             let (head, body) = request.into_parts();
             let reader = Reader::new(body, server.limits.max_message_bytes);
             let response = match (head.method, head.uri.path()) {
                 (Method::POST, methods::STREAM_AGGREGATED_RESOURCES) => {
-                    serve_discovery::<_, discovery::DiscoveryRequest>(server, reader, peer, executor).await
+                    serve_discovery::<_, discovery::DiscoveryRequest>(server, reader, connection, executor)
+                        .await
                 }
                 (Method::POST, methods::DELTA_AGGREGATED_RESOURCES) => {
-                    serve_discovery::<_, discovery::DeltaDiscoveryRequest>(server, reader, peer, executor)
-                        .await
+                    serve_discovery::<_, discovery::DeltaDiscoveryRequest>(
+                        server, reader, connection, executor,
+                    )
+                    .await
                 }
                 (Method::POST, methods::STREAM_LOAD_STATS) => {
-                    serve_load_stats(server, reader, peer, executor)
+                    serve_load_stats(server, reader, connection.peer, executor)
                 }
                 _ => status_response(&Status::new(Code::Unimplemented, "no such method")),
             };
@@ -685,17 +704,23 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let received_request = Cell::new(false);
+    let progress = Rc::new(Progress::default());
+    let socket = Counted::new(socket, progress.clone());
     let served = async {
         let acceptor = server.keys.as_ref().map(|keys| keys.borrow().acceptor());
         let Some(acceptor) = acceptor else {
-            return serve_http(socket, None, server.clone(), executor, &received_request).await;
+            let connection = Connection { peer: None, progress: progress.clone() };
+            return serve_http(socket, connection, server.clone(), executor, &received_request).await;
         };
         let handshake = match acceptor.accept(socket).await {
             Ok(stream) => peer_identity(stream.get_ref().1).map(|peer| (stream, peer)),
             Err(e) => Err(e.to_string()),
         };
         match handshake {
-            Ok((stream, peer)) => serve_http(stream, peer, server.clone(), executor, &received_request).await,
+            Ok((stream, peer)) => {
+                let connection = Connection { peer, progress: progress.clone() };
+                serve_http(stream, connection, server.clone(), executor, &received_request).await
+            }
             Err(what) => {
                 tracing::info!(%what, "TLS handshake failed");
                 server.counts.borrow_mut().handshakes_failed += 1;
@@ -704,7 +729,7 @@
     };
     // Closes connections without a request: a few thousand idle ones would lock all proxies out.
     let idle = async {
-        Timer::after(Duration::from_secs_f64(server.limits.response_timeout)).await;
+        progress.exceeded::<AsyncIo>(&server.limits.request_timeouts()).await;
         if received_request.get() {
             future::pending::<()>().await;
         }
--- a/xds/tests/front/main.rs
+++ b/xds/tests/front/main.rs
@@ -3,4 +3,5 @@
 mod harness;
 mod identities;
 mod orca;
+mod pieces;
 mod streams;
