Limit the silence of a stream of load reports, not the time of a report

What callers saw: a server whose load reports (ORCA) took longer than four intervals to arrive was disconnected each time, and none of them was read. Cause: one limit on the whole report, whether bytes arrived or not. Before: orca::a_report_in_pieces_is_read fails on the parent commit (no report in 20 s).

--- a/xds/src/orca.rs
+++ b/xds/src/orca.rs
@@ -8,6 +8,7 @@
 use futures_lite::{future, stream};
 use hyper::body::Incoming;
 use oatlever::round::Address;
+use oatlever_fetch::{AsyncIo, Counted, Progress, Timeouts};
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
@@ -20,9 +21,9 @@
 const IN_FLIGHT: &str = "in_flight";
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 64 << 10;
-/// In report intervals. A stream without a report for so long is closed and reopened: a server that hangs keeps its
+/// In report intervals. A stream that is silent for so long is closed and reopened: a server that hangs keeps its
 /// connection open.
-const REPORT_TIMEOUT: f64 = 4.0;
+const MAX_SILENT_INTERVALS: f64 = 4.0;
 /// s; upper bound of the exponential backoff between connection attempts.
 const MAX_BACKOFF: f64 = 60.0;
 
@@ -70,13 +71,16 @@
     fn set_in_flight(&self, server: Address, queries: f64);
 }
 
-/// Opens a stream of reports. The stream ends when the returned connection task is dropped.
+/// Opens a stream of reports, whose connection records to `progress`. The stream ends when the returned connection task
+/// is dropped.
 async fn connect(
     host: SocketAddrV4,
     interval: f64,
+    progress: Rc<Progress>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Option<(Reader<Incoming>, Task<()>)> {
     let socket = Async::<TcpStream>::connect(SocketAddr::V4(host)).await.ok()?;
+    let socket = Counted::new(socket, progress);
     let report_interval = ProtoDuration { seconds: interval as i64, nanos: (interval.fract() * 1e9) as i32 };
     let request = Request { report_interval: Some(report_interval), ..Request::default() };
     let method = (SocketAddr::V4(host), METHOD);
@@ -85,28 +89,36 @@
     Some((Reader::new(response.into_body(), MAX_REPORT_BYTES), connection))
 }
 
-/// Awaits a future for as long as a report may take. Returns `None` on timeout.
-async fn with_timeout<T>(interval: f64, future: impl Future<Output = Option<T>>) -> Option<T> {
-    let timeout = async {
-        Timer::after(Duration::from_secs_f64(REPORT_TIMEOUT * interval)).await;
+/// Awaits a future until the connection that records to `progress` exceeds a time limit; then returns `None`.
+async fn unless_silent<T>(
+    progress: &Progress,
+    interval: f64,
+    future: impl Future<Output = Option<T>>,
+) -> Option<T> {
+    let timeouts = Timeouts::from_silence(MAX_SILENT_INTERVALS * interval);
+    let exceeded = async {
+        progress.exceeded::<AsyncIo>(&timeouts).await;
         None
     };
-    future::or(future, timeout).await
+    future::or(future, exceeded).await
 }
 
-/// Reads one stream until it ends or times out. Returns whether any report was received.
+/// Reads one stream until it ends or exceeds a time limit. Returns whether any report was received.
 async fn read_reports(
     handler: &impl ReportHandler,
     (server, host): (Address, SocketAddrV4),
     interval: f64,
     executor: Rc<LocalExecutor<'static>>,
 ) -> bool {
-    let Some((mut reader, _connection)) = with_timeout(interval, connect(host, interval, executor)).await
-    else {
+    let progress = Rc::new(Progress::default());
+    let connected = connect(host, interval, progress.clone(), executor);
+    let Some((mut reader, _connection)) = unless_silent(&progress, interval, connected).await else {
         return false;
     };
+    let mut next =
+        async || unless_silent(&progress, interval, async { reader.next::<Report>().await.ok()? }).await;
     let mut received = false;
-    while let Some(report) = with_timeout(interval, async { reader.next::<Report>().await.ok()? }).await {
+    while let Some(report) = next().await {
         received = true;
         if let Some(queries) = report.in_flight() {
             handler.set_in_flight(server, queries);
--- a/xds/tests/front/orca.rs
+++ b/xds/tests/front/orca.rs
@@ -1,5 +1,6 @@
 //! Servers that report their load, hang, refuse connections, and are removed.
 
+use crate::pieces::SlowWriter;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
@@ -42,6 +43,28 @@
     }
 }
 
+/// Sends one report in pieces over 1.5 times as long as a stream may be silent, and then nothing.
+async fn serve_slowly(listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+    let listener = Async::<TcpListener>::try_from(listener).unwrap();
+    loop {
+        let (socket, _): (Async<TcpStream>, _) = listener.accept().await.unwrap();
+        let hyper_executor = HyperExecutor(executor.clone());
+        // A report has over 12 pieces, its headers included.
+        let socket = SlowWriter::new(socket, 8, Duration::from_millis(50));
+        let connection = async move {
+            let service = service_fn(|_: hyper::Request<Incoming>| async {
+                let named_metrics = [("in_flight".to_string(), 7.0)].into();
+                let report = framed(&Report { named_metrics, ..Report::default() });
+                let reports = stream::once(Ok::<_, Infallible>(Frame::data(report))).chain(stream::pending());
+                Ok::<_, Infallible>(hyper::Response::new(StreamBody::new(reports)))
+            });
+            let builder = hyper::server::conn::http2::Builder::new(hyper_executor);
+            let _ = builder.serve_connection(FuturesIo::new(socket), service).await;
+        };
+        executor.spawn(connection).detach();
+    }
+}
+
 /// Reports 1, 2 and 3 queries in flight, then an invalid number, and then nothing; `open` counts connections.
 async fn serve(listener: TcpListener, open: Rc<Cell<usize>>, executor: Rc<LocalExecutor<'static>>) {
     let listener = Async::<TcpListener>::try_from(listener).unwrap();
@@ -105,3 +128,24 @@
         future::yield_now().await;
     }));
 }
+
+/// A stream whose report took longer to arrive than a stream may be silent was closed, and opened again, for ever.
+#[test]
+fn a_report_in_pieces_is_read() {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.clone().run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let SocketAddr::V4(host) = listener.local_addr().unwrap() else { panic!() };
+        let (handler, changed) = (TestHandler::default(), Rc::new(Event::new()));
+        let server = Address { host: [10, 0, 0, 1], port: 7000 };
+        *handler.0.servers.borrow_mut() = [(server, host)].into();
+        let _serving = executor.spawn(serve_slowly(listener, executor.clone()));
+        let _running = executor.spawn(run(handler.clone(), INTERVAL, changed, executor.clone()));
+        let started = Instant::now();
+        while handler.0.reported.borrow().is_empty() {
+            assert!(started.elapsed() < TEST_TIMEOUT, "timed out waiting for a report");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(handler.0.reported.borrow()[&server], [7.0]);
+    }));
+}
