xDS: read what has arrived before a stream is ended as too slow

What callers saw: a pilot that stood still for longer than /xds/patience ended streams whose proxies had answered meanwhile. Cause: the look for overdue answers came before the read of what had arrived, and before the turn of the connection's task. Change: an overdue answer is waited for another 10 ms and a few turns; one future watches a stream for its whole life.

--- a/xds/src/server.rs
+++ b/xds/src/server.rs
@@ -26,7 +26,7 @@
 use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
 use xds_api::pb::envoy::config::core::v3::Node;
@@ -37,6 +37,11 @@
 /// Per connection. A proxy needs one discovery and one load stream, and twice as many while it replaces them.
 const MAX_CONCURRENT_STREAMS: u32 = 8;
 
+/// How long an overdue answer is waited for that may have arrived and not be read yet, and then the number of turns that
+/// other tasks get.
+const INPUT_DELAY: Duration = Duration::from_millis(10);
+const INPUT_TURNS: usize = 4;
+
 /// Supplies the tables to publish and receives what proxies report.
 pub trait Backend {
     /// Seconds on the pilot's clock.
@@ -468,6 +473,37 @@
     Box::pin(stream::unfold((server, stream, false), next))
 }
 
+/// Lets other tasks handle what has arrived so far.
+async fn handle_pending_input() {
+    Timer::after(INPUT_DELAY).await;
+    for _ in 0..INPUT_TURNS {
+        future::yield_now().await;
+    }
+}
+
+/// Completes with the status that a stream must end with.
+async fn end_status<B: Backend>(server: &Server<B>, stream: &Stream) -> Status {
+    loop {
+        let wake = stream.wake.listen();
+        let status = stream.status.borrow().clone();
+        if let Some(status) = status {
+            return status;
+        }
+        if server.check_stream(stream).is_some() {
+            // If this process has stood still, the answer may have arrived in time and not be read yet.
+            handle_pending_input().await;
+            if let Some(status) = server.check_stream(stream) {
+                return status;
+            }
+        }
+        let pause = Duration::from_secs_f64(server.limits.response_timeout / 4.0);
+        let timer = async {
+            Timer::after(pause).await;
+        };
+        future::or(wake, timer).await;
+    }
+}
+
 /// Handles the requests of a discovery stream until it ends. Returns the status that it ends with.
 async fn handle_requests<B: Backend, M: DiscoveryMessage>(
     server: &Rc<Server<B>>,
@@ -475,30 +511,16 @@
     reader: &mut Reader<Incoming>,
     mut first: Option<M>,
 ) -> Status {
+    // Not made anew for each request, so that frequent requests don't postpone the end.
+    let mut ended = pin!(async { Err(end_status(server, stream).await) });
     loop {
         let message = match first.take() {
             Some(message) => message,
-            None => {
-                let ended = async {
-                    loop {
-                        let wake = stream.wake.listen();
-                        let status = stream.status.borrow().clone();
-                        if let Some(status) = status.or_else(|| server.check_stream(stream)) {
-                            return Err(status);
-                        }
-                        let pause = Duration::from_secs_f64(server.limits.response_timeout / 4.0);
-                        let timer = async {
-                            Timer::after(pause).await;
-                        };
-                        future::or(wake, timer).await;
-                    }
-                };
-                match future::or(ended, reader.next::<M>()).await {
-                    Ok(Some(message)) => message,
-                    Ok(None) => return Status::new(Code::Ok, "ended by the proxy"),
-                    Err(status) => return status,
-                }
-            }
+            None => match future::or(ended.as_mut(), reader.next::<M>()).await {
+                Ok(Some(message)) => message,
+                Ok(None) => return Status::new(Code::Ok, "ended by the proxy"),
+                Err(status) => return status,
+            },
         };
         let Some(resource_type) = ResourceType::from_type_url(message.type_url()) else {
             return Status::new(Code::InvalidArgument, format!("unknown type {:?}", message.type_url()));
