--- a/pilot/src/platform/connections.rs
+++ b/pilot/src/platform/connections.rs
@@ -2,17 +2,17 @@
 //! closes those that do not join.
 
 use super::controller::Reaction;
+use super::peer::Peer;
 use super::Pilot;
 use async_executor::LocalExecutor;
-use event_listener::Event;
 use futures_lite::future;
 use oatlever_platform::frame::{MAX_JOIN_BYTES, MAX_MESSAGE_BYTES};
 use oatlever_platform::message::REJECT;
-use oatlever_platform::{Connection, LineBuffer};
+use oatlever_platform::Connection;
 use oatlever_reactor::{Async, Timer};
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -25,8 +25,6 @@
 const MAX_JOIN_TIME: f64 = 2.5;
 /// Seconds that pending answers get to be written on shutdown. SIGKILL follows SIGTERM after no less than 0.7 s.
 const SHUTDOWN_GRACE: f64 = 0.3;
-/// Most bytes queued for writing on one connection; a peer that leaves more unread is disconnected.
-const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Size of the read buffer that all connections share.
 const READ_BUFFER_BYTES: usize = 1 << 16;
 /// Seconds to wait after a failed accept, for example when file descriptors are exhausted.
@@ -35,72 +33,6 @@
 /// not been seen to end. This few fit beside the descriptors that the pilot opens itself.
 pub const EXTRA_CONNECTIONS: usize = 8;
 
-/// A connection with its input and output buffers.
-struct Peer {
-    id: Connection,
-    stream: Async<TcpStream>,
-    /// Received bytes of an incomplete message.
-    input: RefCell<LineBuffer>,
-    output: RefCell<VecDeque<Rc<[u8]>>>,
-    /// Bytes of the front of `output` that are already written.
-    written: Cell<usize>,
-    /// Bytes in `output` that are not yet written.
-    queued: Cell<usize>,
-    /// When the connection was accepted, and when something last arrived on it.
-    accepted_at: f64,
-    last_input: Cell<f64>,
-    /// Nothing more is read from the connection.
-    closed: Cell<bool>,
-    /// The peer has joined at some time.
-    joined: Cell<bool>,
-    /// Notified when there is output, or the connection was closed.
-    wake: Event,
-    /// Notified when `output` is empty.
-    drained: Event,
-}
-
-impl Peer {
-    fn close(&self) {
-        self.closed.set(true);
-        self.wake.notify(usize::MAX);
-    }
-
-    /// Queues bytes for writing. False if the queue is full.
-    fn queue(&self, bytes: Rc<[u8]>) -> bool {
-        self.queued.set(self.queued.get() + bytes.len());
-        if self.queued.get() > MAX_QUEUED_BYTES {
-            return false;
-        }
-        self.output.borrow_mut().push_back(bytes);
-        self.wake.notify(usize::MAX);
-        true
-    }
-
-    /// Writes as much of the queued output as possible without blocking. Fails if some is left, with `WouldBlock`
-    /// if the socket buffer is full.
-    fn flush(&self) -> io::Result<()> {
-        loop {
-            let Some(bytes) = self.output.borrow().front().cloned() else {
-                self.drained.notify(usize::MAX);
-                return Ok(());
-            };
-            let start = self.written.get();
-            match self.stream.get_ref().write(&bytes[start..]) {
-                Ok(n) => {
-                    self.queued.set(self.queued.get() - n);
-                    self.written.set(start + n);
-                    if start + n == bytes.len() {
-                        self.written.set(0);
-                        self.output.borrow_mut().pop_front();
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-    }
-}
-
 /// All open connections.
 pub struct Connections {
     /// Limit on open connections, which [`EXTRA_CONNECTIONS`] may exceed.
@@ -152,20 +84,7 @@
 
     fn add(&self, stream: Async<TcpStream>, now: f64) -> Rc<Peer> {
         let id = self.next_id.replace(self.next_id.get() + 1);
-        let peer = Rc::new(Peer {
-            id,
-            stream,
-            input: RefCell::default(),
-            output: RefCell::default(),
-            written: Cell::new(0),
-            queued: Cell::new(0),
-            accepted_at: now,
-            last_input: Cell::new(now),
-            closed: Cell::new(false),
-            joined: Cell::new(false),
-            wake: Event::new(),
-            drained: Event::new(),
-        });
+        let peer = Rc::new(Peer::new(id, stream, now));
         self.open.borrow_mut().insert(id, peer.clone());
         self.unjoined.borrow_mut().insert(id);
         peer
--- a/pilot/src/platform/mod.rs
+++ b/pilot/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod controller;
 mod lists;
+mod peer;
 
 pub use configuration::Configuration;
 
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A hand-written record of a run with one pilot, two proxies and two warm servers.
@@ -80,15 +81,21 @@
     assert_eq!(record.violations(), [Violation::Unanswered { connection: 7, requests: 2 }]);
 }
 
+/// A listener in place of a pilot, and the state of the clients of a run with it.
+fn fake_pilot() -> (TcpListener, Arc<Shared>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let plan = Plan { pilots: 1, ..Plan::draw(1, 8.0) };
+    let shared = Shared::new(plan, Recorder::start(), vec![listener.local_addr().unwrap()]);
+    shared.pilots[0].1.store(0, Ordering::SeqCst);
+    (listener, shared)
+}
+
 /// A pilot that reads a request and closes the connection has not answered it; if it closes without reading, the
 /// connection is reset and the request does not count. Uses real sockets.
 #[test]
 fn closed_and_reset_connections_are_distinguished() {
     for reads in [true, false] {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let plan = Plan { pilots: 1, ..Plan::draw(1, 8.0) };
-        let shared = Shared::new(plan.clone(), Recorder::start(), vec![listener.local_addr().unwrap()]);
-        shared.pilots[0].1.store(0, Ordering::SeqCst);
+        let (listener, shared) = fake_pilot();
         // The unknown client with number 3 sends a heartbeat.
         let client = std::thread::spawn({
             let shared = shared.clone();
@@ -105,7 +112,7 @@
         let _again = listener.accept().unwrap();
         shared.finished.store(true, Ordering::SeqCst);
         client.join().unwrap();
-        let found = check(&plan, &shared.recorder.take());
+        let found = check(&shared.plan, &shared.recorder.take());
         let unanswered = matches!(found[..], [Violation::Unanswered { requests: 1, .. }]);
         assert_eq!(unanswered, reads, "{found:?}");
     }
@@ -136,10 +143,7 @@
 /// The order, whose mark the proxy acknowledges, arrives at about the time of its second heartbeat, so that it often writes
 /// both after the close.
 fn violations_of_closed_connections(answers: bool) -> Vec<Violation> {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let plan = Plan { pilots: 1, ..Plan::draw(1, 8.0) };
-    let shared = Shared::new(plan.clone(), Recorder::start(), vec![listener.local_addr().unwrap()]);
-    shared.pilots[0].1.store(0, Ordering::SeqCst);
+    let (listener, shared) = fake_pilot();
     let client = std::thread::spawn({
         let shared = shared.clone();
         move || run_proxy(shared, 0)
@@ -162,7 +166,7 @@
     shared.finished.store(true, Ordering::SeqCst);
     drop(listener);
     client.join().unwrap();
-    let mut found = check(&plan, &shared.recorder.take());
+    let mut found = check(&shared.plan, &shared.recorder.take());
     found.retain(|violation| matches!(violation, Violation::Unanswered { .. }));
     found
 }
